--- /dev/null
+++ b/src/logic.rs
@@ -0,0 +1,907 @@
+//! Every decision of the gateway. The host calls `Gateway::hear` for each event of a tick, in order, and
+//! `Gateway::decide` once after the last; the types of both are in `interface.rs`. `hear` only takes note.
+//! `decide` reviews what is out or held (`review`), scans the held batches oldest first (`scan`, `choose`)
+//! and so settles what is wanted of each batch; `reconcile` alone turns wants into actions.
+//! docs/design.md says what stems from the paper and when each departure acts.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+// The mechanism's figures.
+/// Threads per core under which an engine takes whatever it is offered.
+const GATE_MARK: f64 = 1.5;
+/// At this multiple of the mark the chance of being let in has fallen to nothing.
+const GATE_END: f64 = 3.0;
+/// Threads per core by which an engine may exceed the least loaded and still be taken in hashed order.
+const MARGIN: f64 = 0.5;
+/// The oldest batch held longer than this share of the longest time limit becomes the header.
+const HEADER_AFTER: f64 = 0.1;
+/// Past this share of its time limit a batch goes to the least loaded desirable engine, gate or no gate.
+const FORCED_AFTER: f64 = 1.0 / 3.0;
+/// A refused draw is repeated after this share of the response goal.
+const REDRAW_AFTER: f64 = 0.05;
+
+// Figures of the departures.
+/// Share of what rule 4 would allow that all fronts together may send to a cold engine.
+const COLD_SHARE: f64 = 0.6;
+/// Until answers tell: work is this share of response goal times threads.
+const WORK_GUESS: f64 = 0.5;
+/// The memory of all decaying sums, in longest time limits.
+const MEMORY: f64 = 1.0;
+/// An engine that failed a connection rests this many connect time-outs, doubled with each further strike.
+const REST: f64 = 2.0;
+const MOST_STRIKES: u32 = 5;
+/// Probes for each batch taken.
+const PROBES_PER_BATCH: f64 = 0.4;
+/// A load report older than this share of the longest time limit is no longer used.
+const REPORT_AGE: f64 = 0.15;
+/// A dispatch that needs more than this many usual spans from here is tried elsewhere.
+const FAR_BEHIND: f64 = 4.0;
+/// A further try that again needs at least this share of the last projection shows a truly large batch.
+const AS_LARGE: f64 = 0.5;
+/// A batch earning at most this share once late is given up when its response goal is out of reach.
+const LITTLE: f64 = 0.2;
+/// Advice on when to come back, as a share of the response goal.
+const COME_BACK: f64 = 0.5;
+
+/// A weighted mean whose past fades; brought up to date when it is read or added to.
+#[derive(Clone, Copy, Default)]
+struct Fading {
+    sum: f64,
+    weight: f64,
+    at: Duration,
+    memory: f64,
+}
+
+impl Fading {
+    fn new(memory: f64, first: f64) -> Self {
+        Fading { sum: first, weight: 1.0, at: Duration::ZERO, memory }
+    }
+
+    fn add(&mut self, now: Duration, value: f64) {
+        let kept = (-now.saturating_sub(self.at).as_secs_f64() / self.memory).exp();
+        self.sum = self.sum * kept + value;
+        self.weight = self.weight * kept + 1.0;
+        self.at = now;
+    }
+
+    fn mean(&self) -> f64 {
+        self.sum / self.weight.max(f64::MIN_POSITIVE)
+    }
+}
+
+/// Multiply-with-carry.
+struct Chance(u64);
+
+impl Chance {
+    fn draw(&mut self) -> f64 {
+        self.0 = (self.0 & 0xffff_ffff) * 4_294_957_665 + (self.0 >> 32);
+        (self.0 & 0xffff_ffff) as f64 / 4_294_967_296.0
+    }
+}
+
+/// What differs by service group.
+struct Row {
+    terms: ServiceTerms,
+    priority: u8,
+    /// Work of a batch, in seconds on one thread.
+    work: Fading,
+    /// Time from dispatch to return, in seconds.
+    span: Fading,
+}
+
+impl Row {
+    /// How far the response goal lies after arrival, in seconds, for the usual work.
+    fn goal(&self) -> f64 {
+        let own = self.terms.stretch * self.work.mean() / self.terms.threads.max(1.0);
+        self.terms.response_goal.as_secs_f64() + own
+    }
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Wanted {
+    Held,
+    Out(EngineId),
+    PushedBack,
+    Errored,
+}
+
+struct Out {
+    number: u32,
+    engine: EngineId,
+    at: Duration,
+    cancelled: bool,
+}
+
+struct Batch {
+    id: BatchId,
+    row: usize,
+    tables: u64,
+    key: Option<u64>,
+    taken: Duration,
+    limit: Duration,
+    sent: u32,
+    /// When and where a dispatch first went that may have run.
+    may_have_run: Option<(Duration, EngineId)>,
+    out: Option<Out>,
+    wanted: Wanted,
+    priority: u8,
+    /// The engine that its last dispatch failed on.
+    avoid: Option<EngineId>,
+    /// How long its last dispatch would have taken in all, in seconds.
+    projected: Option<f64>,
+    next_draw: Duration,
+    streaming: bool,
+    /// It has its final answer; only a dispatch's outcome is awaited.
+    over: bool,
+}
+
+struct Engine {
+    entry: EngineEntry,
+    threads: f64,
+    out: u32,
+    loads: BTreeMap<u64, u32>,
+    readers: BTreeMap<u64, u32>,
+    /// Until when a load of another front is taken to hold a table group.
+    foreign: BTreeMap<u64, Duration>,
+    /// Work sent lately while cold.
+    sent: VecDeque<(Duration, f64)>,
+    report: Option<Report>,
+    probed: Duration,
+    strikes: u32,
+    rests_until: Duration,
+}
+
+struct Report {
+    at: Duration,
+    load: LoadReport,
+    threads: f64,
+    out: u32,
+}
+
+#[derive(Clone, Copy)]
+struct Header {
+    batch: u64,
+    engine: EngineId,
+    tables: u64,
+    load: bool,
+    waits: bool,
+}
+
+/// One front's decisions.
+pub struct Gateway {
+    stated: Deployment,
+    rows: Vec<Row>,
+    chance: Chance,
+    engines: BTreeMap<EngineId, Engine>,
+    orders: BTreeMap<u64, Vec<EngineId>>,
+    batches: BTreeMap<u64, Batch>,
+    ids: BTreeMap<BatchId, u64>,
+    next: u64,
+    /// Batches of one key in the order taken, and when the next may go.
+    lanes: BTreeMap<u64, (VecDeque<u64>, Duration)>,
+    header: Option<Header>,
+    touched: BTreeSet<u64>,
+    rescan: bool,
+    armed: Duration,
+    probe_credit: f64,
+    /// Arrivals and further dispatches within the budget's span.
+    arrivals: VecDeque<Duration>,
+    further: VecDeque<Duration>,
+    ask_at: Option<Duration>,
+    longest: Duration,
+}
+
+fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+fn one_less(counts: &mut BTreeMap<u64, u32>, tables: u64) {
+    if let Some(count) = counts.get_mut(&tables) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(&tables);
+        }
+    }
+}
+
+impl Gateway {
+    pub fn new(stated: Deployment, seed: u64) -> Self {
+        let longest = stated.service_groups.iter().map(|t| t.time_limit).max().unwrap_or_default();
+        let memory = (longest.as_secs_f64() * MEMORY).max(1.0);
+        let mut goals: Vec<Duration> = stated.service_groups.iter().map(|t| t.response_goal).collect();
+        goals.sort();
+        goals.dedup();
+        let rows = (stated.service_groups.iter())
+            .map(|terms| {
+                let goal = terms.response_goal.as_secs_f64();
+                // Short beside long: the shorter the response goal, the larger the share of short cores.
+                let rank = goals.iter().position(|g| *g == terms.response_goal).unwrap_or(0);
+                let priority = if stated.priorities { 3u8.saturating_sub(rank as u8) } else { 1 };
+                Row {
+                    terms: terms.clone(),
+                    priority,
+                    work: Fading::new(memory, goal * terms.threads * WORK_GUESS),
+                    span: Fading::new(memory, goal * WORK_GUESS),
+                }
+            })
+            .collect();
+        let ask_at = (stated.discovery == Discovery::OnRequest).then_some(Duration::ZERO);
+        Gateway {
+            rows,
+            chance: Chance(mix(seed) | 1),
+            engines: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            batches: BTreeMap::new(),
+            ids: BTreeMap::new(),
+            next: 0,
+            lanes: BTreeMap::new(),
+            header: None,
+            touched: BTreeSet::new(),
+            rescan: false,
+            armed: Duration::MAX,
+            probe_credit: 0.0,
+            arrivals: VecDeque::new(),
+            further: VecDeque::new(),
+            ask_at,
+            longest,
+            stated,
+        }
+    }
+
+    /// Takes note of one event.
+    pub fn hear(&mut self, now: Duration, event: Event) {
+        match event {
+            Event::Roster(kind, entries) => self.hear_roster(kind, entries),
+            Event::RosterUnavailable => {
+                // Asked again well within the span after which we would count as told.
+                let wait = self.stated.duties.ask_within.mul_f64(0.1 + 0.1 * self.chance.draw());
+                self.ask_at = Some(now + wait);
+            }
+            Event::Arrived(arrival) => self.hear_arrival(now, arrival),
+            Event::Began(id) => {
+                if let Some(batch) = self.ids.get(&id).and_then(|seq| self.batches.get_mut(seq)) {
+                    batch.streaming = true;
+                }
+            }
+            Event::Noted { batch, dispatch, engine, note } => {
+                self.hear_note(now, &batch, dispatch, engine, note)
+            }
+            Event::Ended(ending) => self.hear_ending(now, ending),
+            Event::Left(id) => {
+                if let Some(&seq) = self.ids.get(&id) {
+                    self.close(seq);
+                }
+            }
+            Event::Probed { engine, answered, load } => {
+                if answered {
+                    self.hear_load(now, engine, load);
+                } else {
+                    self.strike(now, engine);
+                }
+            }
+            Event::Message { .. } => {}
+            Event::Woke => {}
+        }
+    }
+
+    fn hear_roster(&mut self, kind: RosterKind, entries: Vec<EngineEntry>) {
+        if kind != RosterKind::Changes {
+            for engine in self.engines.values_mut() {
+                engine.entry.state = EngineState::Left;
+            }
+        }
+        for entry in entries {
+            match self.engines.get_mut(&entry.engine) {
+                Some(engine) => {
+                    if entry.started > engine.entry.started {
+                        engine.sent.clear();
+                        engine.strikes = 0;
+                        engine.rests_until = Duration::ZERO;
+                        engine.report = None;
+                        engine.foreign.clear();
+                    }
+                    engine.entry = entry;
+                }
+                None => {
+                    let engine = Engine {
+                        threads: 0.0,
+                        out: 0,
+                        loads: BTreeMap::new(),
+                        readers: BTreeMap::new(),
+                        foreign: BTreeMap::new(),
+                        sent: VecDeque::new(),
+                        report: None,
+                        probed: Duration::ZERO,
+                        strikes: 0,
+                        rests_until: Duration::ZERO,
+                        entry,
+                    };
+                    self.engines.insert(engine.entry.engine, engine);
+                }
+            }
+        }
+        self.engines.retain(|_, e| e.entry.state == EngineState::Active || e.out > 0);
+        self.orders.clear();
+        self.rescan = true;
+    }
+
+    fn hear_arrival(&mut self, now: Duration, arrival: Arrival) {
+        self.arrivals.push_back(now);
+        self.probe_credit = (self.probe_credit + PROBES_PER_BATCH).min(self.engines.len() as f64);
+        let row = arrival.service_group.min(self.rows.len().saturating_sub(1));
+        let seq = self.next;
+        self.next += 1;
+        let key = arrival.key.filter(|_| self.rows[row].terms.ordered);
+        if let Some(key) = key {
+            self.lanes.entry(key).or_default().0.push_back(seq);
+        }
+        self.ids.insert(arrival.batch.clone(), seq);
+        let batch = Batch {
+            id: arrival.batch,
+            row,
+            tables: arrival.table_group,
+            key,
+            taken: now,
+            limit: now + arrival.patience,
+            sent: 0,
+            may_have_run: None,
+            out: None,
+            wanted: Wanted::Held,
+            priority: 1,
+            avoid: None,
+            projected: None,
+            next_draw: now,
+            streaming: false,
+            over: false,
+        };
+        self.batches.insert(seq, batch);
+        self.rescan = true;
+    }
+
+    fn hear_load(&mut self, now: Duration, engine: EngineId, load: Option<LoadReport>) {
+        if let (Some(engine), Some(load)) = (self.engines.get_mut(&engine), load) {
+            engine.report = Some(Report { at: now, load, threads: engine.threads, out: engine.out });
+        }
+    }
+
+    /// Guards against an engine that is dead, cut off or out of connections, whatever the cause: it rests,
+    /// longer with each strike, and one answer heals it. Harm: a passing fault costs one short rest.
+    fn strike(&mut self, now: Duration, engine: EngineId) {
+        if let Some(engine) = self.engines.get_mut(&engine) {
+            if engine.rests_until > now {
+                return;
+            }
+            engine.strikes = (engine.strikes + 1).min(MOST_STRIKES);
+            let rest =
+                self.stated.permits.connect_timeout.mul_f64(REST * f64::from(1 << (engine.strikes - 1)));
+            engine.rests_until = now + rest;
+        }
+    }
+
+    fn hear_note(&mut self, now: Duration, id: &BatchId, dispatch: u32, engine: EngineId, note: Note) {
+        let Some(&seq) = self.ids.get(id) else { return };
+        let Some(batch) = self.batches.get_mut(&seq) else { return };
+        let Some(out) = batch.out.as_ref().filter(|out| out.number == dispatch && !out.cancelled) else {
+            return;
+        };
+        let age = now.saturating_sub(out.at).as_secs_f64();
+        let row = &self.rows[batch.row];
+        match note {
+            Note::WaitsForLoad => {
+                // Another front's load holds the group there: a conflict just like one of our own.
+                let own = self.engines.get(&engine).is_some_and(|e| e.loads.contains_key(&batch.tables));
+                if let Some(engine) = self.engines.get_mut(&engine).filter(|_| !own) {
+                    engine.foreign.insert(batch.tables, now + self.stated.note_period);
+                }
+                if !row.terms.load {
+                    self.move_on(seq);
+                }
+            }
+            Note::Progress(share) => {
+                // Guards against bad plans, slow engines and work that stands still: a dispatch far behind
+                // what is usual goes elsewhere. Where the next try is as far behind, the batch is large
+                // and stays. Harm: work done so far is lost.
+                let total = age / share.clamp(1e-3, 1.0);
+                let large = batch.projected.is_some_and(|last| total > last * AS_LARGE);
+                if total - age > FAR_BEHIND * row.span.mean() && !large {
+                    batch.projected = Some(total);
+                    self.move_on(seq);
+                }
+            }
+            Note::Spills(_) | Note::WaitsForMemory => {}
+        }
+    }
+
+    /// Wants a batch tried elsewhere, if it may be sent again.
+    fn move_on(&mut self, seq: u64) {
+        if !self.stated.permits.cancel || !self.may_go_again(seq) {
+            return;
+        }
+        if let Some(batch) = self.batches.get_mut(&seq) {
+            let once_only = self.rows[batch.row].terms.effect == Effect::OnceOnly;
+            if once_only || batch.streaming || batch.over {
+                return;
+            }
+            batch.wanted = Wanted::Held;
+            self.touched.insert(seq);
+        }
+    }
+
+    fn may_go_again(&self, seq: u64) -> bool {
+        self.batches.get(&seq).is_some_and(|b| b.sent < self.stated.permits.most_dispatches.max(1))
+    }
+
+    fn hear_ending(&mut self, now: Duration, ending: Ending) {
+        self.hear_load(now, ending.engine, ending.load);
+        let outcome = ending.outcome;
+        match outcome {
+            Outcome::NoConnection | Outcome::Reset | Outcome::Full => self.strike(now, ending.engine),
+            Outcome::Returned => {
+                if let Some(engine) = self.engines.get_mut(&ending.engine) {
+                    engine.strikes = 0;
+                    engine.rests_until = Duration::ZERO;
+                }
+            }
+            _ => {}
+        }
+        let Some(&seq) = self.ids.get(&ending.batch) else { return };
+        let Some(batch) = self.batches.get_mut(&seq) else { return };
+        if batch.out.as_ref().is_some_and(|out| out.number == ending.dispatch) {
+            batch.out = None;
+            let row = &mut self.rows[batch.row];
+            if let Some(engine) = self.engines.get_mut(&ending.engine) {
+                engine.threads -= row.terms.threads;
+                engine.out -= 1;
+                if row.terms.load {
+                    one_less(&mut engine.loads, batch.tables);
+                } else if row.terms.waits_for_loads {
+                    one_less(&mut engine.readers, batch.tables);
+                }
+            }
+            self.rescan = true;
+            let span = ending.after.as_secs_f64();
+            if outcome == Outcome::Returned {
+                row.span.add(now, span);
+                row.work.add(now, ending.cost.map_or(span * row.terms.threads, |c| c.work.as_secs_f64()));
+            }
+            if !outcome.never_ran() && batch.may_have_run.is_none() {
+                batch.may_have_run = Some((now.saturating_sub(ending.after), ending.engine));
+            }
+            if let Some(lane) = batch.key.and_then(|key| self.lanes.get_mut(&key))
+                && matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
+            {
+                lane.1 = lane.1.max(now + self.stated.duties.settle_after_doubt);
+            }
+            batch.avoid = Some(ending.engine);
+            batch.next_draw = now;
+            if batch.wanted == Wanted::Out(ending.engine) {
+                batch.wanted = Wanted::Held;
+            }
+        }
+        if ending.over || outcome == Outcome::Returned {
+            self.close(seq);
+        } else if self.batches.get(&seq).is_some_and(|b| b.over) {
+            self.forget(seq);
+        } else {
+            self.settle_failure(now, seq);
+        }
+    }
+
+    /// A dispatch ended without an answer: held for another, or given up at once.
+    fn settle_failure(&mut self, now: Duration, seq: u64) {
+        let again = self.may_go_again(seq);
+        let Some(batch) = self.batches.get(&seq) else { return };
+        if batch.out.is_some() || batch.wanted != Wanted::Held {
+            return;
+        }
+        let barred = match self.rows[batch.row].terms.effect {
+            Effect::Repeatable => false,
+            Effect::OnceOnly => batch.may_have_run.is_some(),
+            Effect::Referenced { remembered, .. } => {
+                batch.may_have_run.is_some_and(|(at, _)| now >= at + remembered)
+            }
+        };
+        if barred || !again {
+            self.give_up(seq);
+        }
+    }
+
+    /// The final answer that the rules allow: pushed back where trying again is safe.
+    fn give_up(&mut self, seq: u64) {
+        let Some(batch) = self.batches.get_mut(&seq) else { return };
+        let ran = batch.may_have_run.is_some() || batch.out.is_some();
+        let safe = match self.rows[batch.row].terms.effect {
+            Effect::Repeatable => true,
+            Effect::OnceOnly => !ran,
+            Effect::Referenced { reach, .. } => !ran || reach == Reach::Everywhere,
+        };
+        batch.wanted = if safe { Wanted::PushedBack } else { Wanted::Errored };
+        self.touched.insert(seq);
+    }
+
+    /// The batch has its final answer; it stays known while a dispatch is out.
+    fn close(&mut self, seq: u64) {
+        if let Some(batch) = self.batches.get_mut(&seq) {
+            batch.over = true;
+            if batch.out.is_none() {
+                self.forget(seq);
+            }
+        }
+        if self.header.is_some_and(|h| h.batch == seq) {
+            self.header = None;
+        }
+    }
+
+    fn forget(&mut self, seq: u64) {
+        let Some(batch) = self.batches.remove(&seq) else { return };
+        self.ids.remove(&batch.id);
+        self.rescan = true;
+        if let Some(lane) = batch.key.and_then(|key| self.lanes.get_mut(&key)) {
+            lane.0.retain(|other| *other != seq);
+        }
+    }
+
+    /// Settles what is wanted and yields the actions towards it.
+    pub fn decide(&mut self, now: Duration) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.ask_at.is_some_and(|at| at <= now) {
+            self.ask_at = None;
+            actions.push(Action::Follow);
+        }
+        let mut due = self.ask_at.unwrap_or(Duration::MAX).min(self.review(now));
+        self.probe(now, &mut actions);
+        if self.rescan || self.batches.values().any(|b| held(b) && b.next_draw <= now) {
+            self.rescan = false;
+            due = due.min(self.scan(now, &mut actions));
+        } else {
+            due = due.min(self.next_draw(now));
+        }
+        self.reconcile(now, &mut actions);
+        if due != Duration::MAX && (self.armed <= now || due < self.armed) {
+            self.armed = due.max(now + self.stated.tick);
+            actions.push(Action::Wake { at: self.armed });
+        }
+        actions
+    }
+
+    /// Gives up what can no longer be answered, or no longer in time to be worth much.
+    fn review(&mut self, now: Duration) -> Duration {
+        let margin = self.stated.tick * 2;
+        let mut due = Duration::MAX;
+        let mut lost = Vec::new();
+        for (&seq, batch) in &self.batches {
+            if batch.over || batch.streaming {
+                continue;
+            }
+            let row = &self.rows[batch.row];
+            let mut last = batch.limit.saturating_sub(margin);
+            if batch.out.is_none() && row.terms.late_share <= LITTLE {
+                // Guards against queues of batches that are already too late: decided early, said at once.
+                // Harm: a batch much smaller than usual might still have been in time.
+                let start = batch.taken + Duration::from_secs_f64((row.goal() - row.span.mean()).max(0.0));
+                last = last.min(start.max(batch.taken + margin));
+            }
+            if last <= now {
+                lost.push(seq);
+            } else {
+                due = due.min(last);
+            }
+        }
+        for seq in lost {
+            self.give_up(seq);
+        }
+        due
+    }
+
+    fn probe(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if !self.stated.permits.probes || self.stated.reports != Reports::WhenProbed {
+            return;
+        }
+        while self.probe_credit >= 1.0 {
+            let gap = self.stated.permits.connect_timeout;
+            let stalest = (self.engines.values_mut())
+                .filter(|e| e.entry.state == EngineState::Active && e.probed + gap <= now)
+                .min_by_key(|e| e.probed);
+            let Some(engine) = stalest else { return };
+            engine.probed = now;
+            self.probe_credit -= 1.0;
+            actions.push(Action::Probe { engine: engine.entry.engine });
+        }
+    }
+
+    fn next_draw(&self, now: Duration) -> Duration {
+        let tick = self.stated.tick;
+        let held = self.batches.values().filter(|b| held(b));
+        held.map(|b| b.next_draw.max(now + tick)).min().unwrap_or(Duration::MAX)
+    }
+
+    /// One pass over the held batches, oldest first.
+    fn scan(&mut self, now: Duration, actions: &mut Vec<Action>) -> Duration {
+        let waiting: Vec<u64> = self.batches.iter().filter(|(_, b)| held(b)).map(|(&s, _)| s).collect();
+        if let Some(&oldest) = waiting.first().filter(|_| self.header.is_none()) {
+            let batch = &self.batches[&oldest];
+            if now >= batch.taken + self.longest.mul_f64(HEADER_AFTER) {
+                self.header = self.tie(now, oldest);
+            }
+        }
+        for seq in waiting {
+            let in_turn = (self.batches[&seq].key)
+                .and_then(|key| self.lanes.get(&key))
+                .is_none_or(|(lane, free)| lane.front() == Some(&seq) && *free <= now);
+            let drawn = self.batches[&seq].next_draw <= now;
+            let further = self.batches[&seq].sent > 0;
+            if !in_turn || !drawn || (further && !self.budget_left(now)) {
+                continue;
+            }
+            match self.choose(now, seq) {
+                Some(engine) => {
+                    if let Some(batch) = self.batches.get_mut(&seq) {
+                        batch.wanted = Wanted::Out(engine);
+                    }
+                    self.touched.insert(seq);
+                    self.reconcile(now, actions);
+                }
+                None => {
+                    let goal = self.rows[self.batches[&seq].row].terms.response_goal;
+                    if let Some(batch) = self.batches.get_mut(&seq) {
+                        batch.next_draw = now + goal.mul_f64(REDRAW_AFTER);
+                    }
+                }
+            }
+        }
+        self.next_draw(now)
+    }
+
+    /// Rule 7, kept for a tick more than the span asks.
+    fn budget_left(&mut self, now: Duration) -> bool {
+        let Some(budget) = self.stated.duties.budget else {
+            self.arrivals.clear();
+            return true;
+        };
+        while self.arrivals.front().is_some_and(|at| *at + budget.span <= now + self.stated.tick) {
+            self.arrivals.pop_front();
+        }
+        while self.further.front().is_some_and(|at| *at + budget.span + self.stated.tick < now) {
+            self.further.pop_front();
+        }
+        (self.further.len() + 1) as f64 <= budget.free + budget.share * self.arrivals.len() as f64
+    }
+
+    /// Ties the header to its first desirable engine, or to the first that it may use at all.
+    fn tie(&mut self, now: Duration, seq: u64) -> Option<Header> {
+        let order = self.order(seq);
+        let batch = &self.batches[&seq];
+        let terms = &self.rows[batch.row].terms;
+        let usable: Vec<EngineId> = order.into_iter().filter(|e| self.usable(now, batch, *e)).collect();
+        let engine = usable.iter().find(|e| !self.conflicts(now, batch, **e)).or(usable.first())?;
+        let (load, waits) = (terms.load, terms.waits_for_loads);
+        Some(Header { batch: seq, engine: *engine, tables: batch.tables, load, waits })
+    }
+
+    /// The engines in the order hashed from the batch's table group, the same at every front.
+    fn order(&mut self, seq: u64) -> Vec<EngineId> {
+        let batch = &self.batches[&seq];
+        let tables = batch.tables;
+        let engines = &self.engines;
+        let order = self.orders.entry(tables).or_insert_with(|| {
+            let mut order: Vec<EngineId> = engines.keys().copied().collect();
+            order.sort_by_key(|e| std::cmp::Reverse(mix(tables ^ mix(u64::from(*e) + 1))));
+            order
+        });
+        // Loads walk the order from its far end: so the loads of all fronts keep off the engines that the
+        // group's readers call home, though no front sees another's.
+        match self.rows[batch.row].terms.load {
+            true => order.iter().rev().copied().collect(),
+            false => order.clone(),
+        }
+    }
+
+    /// Whether the rules and the engine's health let the batch go there now.
+    fn usable(&self, now: Duration, batch: &Batch, id: EngineId) -> bool {
+        let Some(engine) = self.engines.get(&id) else { return false };
+        let entry = &engine.entry;
+        let terms = &self.rows[batch.row].terms;
+        let placed = terms.locations.as_ref().is_none_or(|list| list.contains(&entry.location))
+            && terms.kinds.as_ref().is_none_or(|list| list.contains(&entry.kind));
+        let reached = match (terms.effect, batch.may_have_run) {
+            (Effect::Referenced { reach, remembered }, Some((at, first))) => {
+                let first = self.engines.get(&first).map(|e| &e.entry);
+                let near = match reach {
+                    Reach::Everywhere => true,
+                    Reach::Location => first.is_some_and(|f| f.location == entry.location),
+                    Reach::Cell => first.is_some_and(|f| f.cell == entry.cell),
+                };
+                near && now < at + remembered
+            }
+            (Effect::OnceOnly, Some(_)) => false,
+            _ => true,
+        };
+        let rested = engine.rests_until <= now && (engine.strikes == 0 || engine.out == 0);
+        entry.state == EngineState::Active
+            && placed
+            && reached
+            && rested
+            && self.cold_room(now, batch, engine)
+    }
+
+    /// Guards against pushing over an engine that has just started (rule 4), from whatever cause it did:
+    /// this front's share of the work that the engine is sure to bear, in every window.
+    fn cold_room(&self, now: Duration, batch: &Batch, engine: &Engine) -> bool {
+        let duties = &self.stated.duties;
+        if !self.cold(now, engine) {
+            return true;
+        }
+        let cores = self.cores(engine);
+        let bears = duties.fall_multiple * duties.cold_from * cores * duties.fall_after.as_secs_f64();
+        let room = bears * COLD_SHARE / f64::from(self.stated.fronts.max(1));
+        let recent = engine.sent.iter().filter(|(at, _)| *at + duties.fall_after + self.stated.tick > now);
+        let sent: f64 = recent.map(|(_, work)| work).sum();
+        sent + self.rows[batch.row].work.mean() <= room
+    }
+
+    fn cold(&self, now: Duration, engine: &Engine) -> bool {
+        let started = engine.entry.started;
+        started > Duration::ZERO && now < started + self.stated.duties.cold_for
+    }
+
+    fn cores(&self, engine: &Engine) -> f64 {
+        self.stated.machines.get(engine.entry.kind as usize).map_or(1.0, |m| m.cores.max(1.0))
+    }
+
+    /// The paper's test, on this front's running batches and on loads that notes have shown.
+    fn conflicts(&self, now: Duration, batch: &Batch, id: EngineId) -> bool {
+        let Some(engine) = self.engines.get(&id) else { return true };
+        let terms = &self.rows[batch.row].terms;
+        let held = engine.loads.contains_key(&batch.tables)
+            || engine.foreign.get(&batch.tables).is_some_and(|until| *until > now);
+        let with_header = self.header.is_some_and(|h| {
+            h.engine == id
+                && h.tables == batch.tables
+                && self.batches.get(&h.batch).is_some_and(|b| b.id != batch.id)
+                && ((terms.load && (h.load || h.waits)) || (terms.waits_for_loads && h.load))
+        });
+        with_header
+            || (terms.load && (held || engine.readers.contains_key(&batch.tables)))
+            || (terms.waits_for_loads && held)
+    }
+
+    /// Threads per core: as the engine reported, with what this front has changed since; with no report,
+    /// this front's own times the number of fronts.
+    fn threads_per_core(&self, now: Duration, engine: &Engine) -> f64 {
+        let cores = self.cores(engine);
+        let fresh = self.longest.mul_f64(REPORT_AGE);
+        let threads = match engine.report.as_ref().filter(|r| r.at + fresh > now) {
+            Some(Report { load: LoadReport { held: Some(held), .. }, out, .. }) => {
+                let own = if engine.out > 0 { engine.threads / f64::from(engine.out) } else { 1.0 };
+                engine.threads + (held - f64::from(*out)).max(0.0) * own.max(1.0)
+            }
+            Some(Report { load: LoadReport { cores_busy: Some(busy), .. }, threads, .. }) => {
+                (busy * cores + engine.threads - threads).max(engine.threads)
+            }
+            _ => engine.threads * f64::from(self.stated.fronts.max(1)),
+        };
+        threads / cores
+    }
+
+    /// Hashed order, home first unless it exceeds the least loaded by the margin, then the gate.
+    fn choose(&mut self, now: Duration, seq: u64) -> Option<EngineId> {
+        let order = self.order(seq);
+        let batch = &self.batches[&seq];
+        let tied = self.header.filter(|h| h.batch == seq).map(|h| h.engine);
+        if tied.is_some_and(|e| !self.usable(now, batch, e)) {
+            self.header = None;
+            return None;
+        }
+        let mut desirable: Vec<(EngineId, f64)> = Vec::new();
+        for id in order {
+            let batch = &self.batches[&seq];
+            if tied.is_some_and(|e| e != id) || !self.usable(now, batch, id) || self.conflicts(now, batch, id)
+            {
+                continue;
+            }
+            let engine = &self.engines[&id];
+            // Carry-over: a fresh engine is passed over by chance, less often as it warms.
+            if self.cold(now, engine) {
+                let age = now.saturating_sub(engine.entry.started).as_secs_f64();
+                let from = self.stated.duties.cold_from;
+                let warmth = from + (1.0 - from) * age / self.stated.duties.cold_for.as_secs_f64();
+                if self.chance.draw() > warmth {
+                    continue;
+                }
+            }
+            desirable.push((id, self.threads_per_core(now, &self.engines[&id])));
+        }
+        let batch = &self.batches[&seq];
+        if desirable.len() > 1 {
+            desirable.retain(|(id, _)| Some(*id) != batch.avoid);
+        }
+        let least = desirable.iter().copied().min_by(|a, b| a.1.total_cmp(&b.1))?;
+        let forced = now >= batch.taken + self.rows[batch.row].terms.time_limit.mul_f64(FORCED_AFTER);
+        if forced {
+            return Some(least.0);
+        }
+        desirable.retain(|(_, load)| *load <= least.1 + MARGIN);
+        for (id, load) in desirable {
+            let chance = (GATE_MARK * GATE_END - load) / (GATE_MARK * (GATE_END - 1.0));
+            if chance >= 1.0 || self.chance.draw() < chance {
+                return Some(id);
+            }
+        }
+        None
+    }
+
+    /// Turns the difference between what is wanted and what is into actions. Nothing else does.
+    fn reconcile(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        for seq in std::mem::take(&mut self.touched) {
+            let Some(batch) = self.batches.get_mut(&seq).filter(|b| !b.over) else { continue };
+            let id = batch.id.clone();
+            let row = &self.rows[batch.row];
+            let keep = match (batch.wanted, &batch.out) {
+                (Wanted::Out(engine), Some(out)) => out.engine == engine,
+                (_, None) => true,
+                _ => false,
+            };
+            if let Some(out) = batch.out.as_mut().filter(|out| !keep && !out.cancelled) {
+                out.cancelled = true;
+                if self.stated.permits.cancel {
+                    actions.push(Action::Cancel { batch: id.clone(), dispatch: out.number });
+                }
+            }
+            match batch.wanted {
+                Wanted::Out(engine) if batch.out.is_none() => {
+                    if batch.priority != row.priority {
+                        batch.priority = row.priority;
+                        let priority = row.priority;
+                        actions.push(Action::Rank { batch: id.clone(), priority, memory_mb: 0.0 });
+                    }
+                    actions.push(Action::Dispatch { batch: id, engine, time_out: Duration::ZERO });
+                    batch.out = Some(Out { number: batch.sent, engine, at: now, cancelled: false });
+                    if batch.sent > 0 {
+                        self.further.push_back(now);
+                    }
+                    batch.sent += 1;
+                    if let Some(engine) = self.engines.get_mut(&engine) {
+                        engine.threads += row.terms.threads;
+                        engine.out += 1;
+                        if row.terms.load {
+                            *engine.loads.entry(batch.tables).or_default() += 1;
+                        } else if row.terms.waits_for_loads {
+                            *engine.readers.entry(batch.tables).or_default() += 1;
+                        }
+                        engine.sent.push_back((now, row.work.mean()));
+                        while engine.sent.front().is_some_and(|(at, _)| {
+                            *at + self.stated.duties.fall_after + self.stated.tick <= now
+                        }) {
+                            engine.sent.pop_front();
+                        }
+                    }
+                    if self.header.is_some_and(|h| h.batch == seq) {
+                        self.header = None;
+                    }
+                }
+                Wanted::PushedBack => {
+                    let permits = &self.stated.permits;
+                    let come_back = permits
+                        .come_back
+                        .then(|| row.terms.response_goal.mul_f64(COME_BACK).min(permits.longest_come_back));
+                    actions.push(Action::PushBack { batch: id, come_back });
+                    self.close(seq);
+                }
+                Wanted::Errored => {
+                    actions.push(Action::Error { batch: id });
+                    self.close(seq);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Whether a batch waits for a dispatch.
+fn held(batch: &Batch) -> bool {
+    !batch.over && batch.out.is_none() && batch.wanted == Wanted::Held
+}
