--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,7 +10,7 @@
 
 // The mechanism's figures.
 /// Threads per core under which an engine takes whatever it is offered.
-const GATE_MARK: f64 = 1.5;
+const GATE_MARK: f64 = 1.0;
 /// At this multiple of the mark the chance of being let in has fallen to nothing.
 const GATE_END: f64 = 3.0;
 /// Threads per core by which an engine may exceed the least loaded and still be taken in hashed order.
@@ -41,7 +41,9 @@
 /// A further try that again needs at least this share of the last projection shows a truly large batch.
 const AS_LARGE: f64 = 0.5;
 /// A batch earning at most this share once late is given up when its response goal is out of reach.
-const LITTLE: f64 = 0.2;
+const LITTLE: f64 = 0.7;
+/// Above this share of busy cores a report no longer tells how many threads run.
+const SATURATED: f64 = 0.9;
 /// Advice on when to come back, as a share of the response goal.
 const COME_BACK: f64 = 0.5;
 
@@ -60,9 +62,13 @@
     }
 
     fn add(&mut self, now: Duration, value: f64) {
+        self.add_weighted(now, value, 1.0);
+    }
+
+    fn add_weighted(&mut self, now: Duration, value: f64, weight: f64) {
         let kept = (-now.saturating_sub(self.at).as_secs_f64() / self.memory).exp();
         self.sum = self.sum * kept + value;
-        self.weight = self.weight * kept + 1.0;
+        self.weight = self.weight * kept + weight;
         self.at = now;
     }
 
@@ -185,6 +191,8 @@
     touched: BTreeSet<u64>,
     rescan: bool,
     armed: Duration,
+    /// What all fronts together run, as a multiple of this front's.
+    multiple: Fading,
     probe_credit: f64,
     /// Arrivals and further dispatches within the budget's span.
     arrivals: VecDeque<Duration>,
@@ -243,6 +251,7 @@
             touched: BTreeSet::new(),
             rescan: false,
             armed: Duration::MAX,
+            multiple: Fading::new(memory, f64::from(stated.fronts.max(1))),
             probe_credit: 0.0,
             arrivals: VecDeque::new(),
             further: VecDeque::new(),
@@ -364,6 +373,11 @@
 
     fn hear_load(&mut self, now: Duration, engine: EngineId, load: Option<LoadReport>) {
         if let (Some(engine), Some(load)) = (self.engines.get_mut(&engine), load) {
+            // How many times this front's threads the engines bear, learned while reports can tell it.
+            if let Some(busy) = load.cores_busy.filter(|busy| *busy < SATURATED) {
+                let cores = self.stated.machines.get(engine.entry.kind as usize).map_or(1.0, |m| m.cores);
+                self.multiple.add_weighted(now, busy * cores, engine.threads);
+            }
             engine.report = Some(Report { at: now, load, threads: engine.threads, out: engine.out });
         }
     }
@@ -780,7 +794,8 @@
                 engine.threads + (held - f64::from(*out)).max(0.0) * own.max(1.0)
             }
             Some(Report { load: LoadReport { cores_busy: Some(busy), .. }, threads, .. }) => {
-                (busy * cores + engine.threads - threads).max(engine.threads)
+                let told = (busy * cores + engine.threads - threads).max(engine.threads);
+                if *busy < SATURATED { told } else { told.max(engine.threads * self.multiple.mean()) }
             }
             _ => engine.threads * f64::from(self.stated.fronts.max(1)),
         };
