The gate's mark moves by the pressure that own batches feel on an engine

Cause: reports and own counts cannot tell a jam. Each engine's pool of own threads starts at the design's mark, grows by good returns and shrinks when returns come late against their goal.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,6 +42,13 @@
 const AS_LARGE: f64 = 0.5;
 /// A batch earning at most this share once late is given up when its response goal is out of reach.
 const LITTLE: f64 = 0.7;
+/// A return after this share of its response goal shows pressure on its engine.
+const PRESSED: f64 = 0.6;
+/// What pressure leaves of an engine's pool, at most once in this share of the shortest response goal.
+const SHRINK: f64 = 0.75;
+const SHRINK_GAP: f64 = 0.5;
+/// Threads by which a pool grows for each pool's worth of good returns.
+const GROW: f64 = 0.5;
 /// Above this share of busy cores a report no longer tells how many threads run.
 const SATURATED: f64 = 0.9;
 /// Advice on when to come back, as a share of the response goal.
@@ -157,6 +164,9 @@
     probed: Duration,
     strikes: u32,
     rests_until: Duration,
+    /// Threads that this front may run there: the mark, moved by pressure.
+    pool: f64,
+    shrunk: Duration,
 }
 
 struct Report {
@@ -316,7 +326,10 @@
                     engine.entry = entry;
                 }
                 None => {
+                    let cores = self.stated.machines.get(entry.kind as usize).map_or(1.0, |m| m.cores);
                     let engine = Engine {
+                        pool: cores * GATE_MARK / f64::from(self.stated.fronts.max(1)),
+                        shrunk: Duration::ZERO,
                         threads: 0.0,
                         out: 0,
                         loads: BTreeMap::new(),
@@ -462,6 +475,7 @@
             }
             _ => {}
         }
+        let mut pressure = None;
         let Some(&seq) = self.ids.get(&ending.batch) else { return };
         let Some(batch) = self.batches.get_mut(&seq) else { return };
         if batch.out.as_ref().is_some_and(|out| out.number == ending.dispatch) {
@@ -476,9 +490,13 @@
                     one_less(&mut engine.readers, batch.tables);
                 }
             }
-            self.rescan = true;
             let span = ending.after.as_secs_f64();
             if outcome == Outcome::Returned {
+                let work = ending.cost.map_or(row.work.mean(), |c| c.work.as_secs_f64());
+                let goal =
+                    row.terms.response_goal.as_secs_f64() + row.terms.stretch * work / row.terms.threads;
+                let threads = row.terms.threads;
+                pressure = Some((span > goal * PRESSED, threads));
                 row.span.add(now, span);
                 row.work.add(now, ending.cost.map_or(span * row.terms.threads, |c| c.work.as_secs_f64()));
             }
@@ -496,6 +514,10 @@
                 batch.wanted = Wanted::Held;
             }
         }
+        self.rescan = true;
+        if let Some((pressed, threads)) = pressure {
+            self.feel(now, ending.engine, pressed, threads);
+        }
         if ending.over || outcome == Outcome::Returned {
             self.close(seq);
         } else if self.batches.get(&seq).is_some_and(|b| b.over) {
@@ -505,6 +527,20 @@
         }
     }
 
+    /// Moves an engine's mark by the pressure that this front's own batches feel there: from other fronts,
+    /// other programs, slow cores or short memory alike.
+    fn feel(&mut self, now: Duration, id: EngineId, pressed: bool, threads: f64) {
+        let shortest = self.rows.iter().map(|r| r.terms.response_goal).min().unwrap_or_default();
+        let Some(engine) = self.engines.get_mut(&id) else { return };
+        let cores = self.stated.machines.get(engine.entry.kind as usize).map_or(1.0, |m| m.cores);
+        if pressed && now >= engine.shrunk + shortest.mul_f64(SHRINK_GAP) {
+            engine.pool = (engine.pool * SHRINK).max(1.0);
+            engine.shrunk = now;
+        } else if !pressed && engine.threads + threads > engine.pool {
+            engine.pool = (engine.pool + GROW * threads / engine.pool).min(cores * GATE_MARK * GATE_END);
+        }
+    }
+
     /// A dispatch ended without an answer: held for another, or given up at once.
     fn settle_failure(&mut self, now: Duration, seq: u64) {
         let again = self.may_go_again(seq);
@@ -840,8 +876,9 @@
             return Some(least.0);
         }
         desirable.retain(|(_, load)| *load <= least.1 + MARGIN);
-        for (id, load) in desirable {
-            let chance = (GATE_MARK * GATE_END - load) / (GATE_MARK * (GATE_END - 1.0));
+        for (id, _) in desirable {
+            let engine = &self.engines[&id];
+            let chance = (GATE_END - engine.threads / engine.pool) / (GATE_END - 1.0);
             if chance >= 1.0 || self.chance.draw() < chance {
                 return Some(id);
             }
