Repeats are aged by the patience their clients have left

Cause: a client's repeat counts with its first try, so most repeats in a jam came too late to count and were served all the same.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,6 +49,8 @@
 const SHRINK_GAP: f64 = 0.5;
 /// Threads by which a pool grows for each pool's worth of good returns.
 const GROW: f64 = 0.5;
+/// A first try is given at least this share of the most patience seen.
+const FIRST_TRY: f64 = 0.98;
 /// Above this share of busy cores a report no longer tells how many threads run.
 const SATURATED: f64 = 0.9;
 /// Advice on when to come back, as a share of the response goal.
@@ -102,6 +104,8 @@
     work: Fading,
     /// Time from dispatch to return, in seconds.
     span: Fading,
+    /// The longest that a client has given a try.
+    patience: Duration,
 }
 
 impl Row {
@@ -132,6 +136,8 @@
     row: usize,
     tables: u64,
     key: Option<u64>,
+    /// When the client first asked, as far as its patience tells, and when this try came.
+    asked: Duration,
     taken: Duration,
     limit: Duration,
     sent: u32,
@@ -244,6 +250,7 @@
                     priority,
                     work: Fading::new(memory, goal * terms.threads * WORK_GUESS),
                     span: Fading::new(memory, goal * WORK_GUESS),
+                    patience: Duration::ZERO,
                 }
             })
             .collect();
@@ -362,7 +369,16 @@
             self.lanes.entry(key).or_default().0.push_back(seq);
         }
         self.ids.insert(arrival.batch.clone(), seq);
+        // Guards against serving repeats that come too late to count: a client that gives a try less time
+        // than others has asked before, and its response goal has run since then.
+        let terms = &mut self.rows[row];
+        terms.patience = terms.patience.max(arrival.patience);
+        let age = match arrival.patience < terms.patience.mul_f64(FIRST_TRY) {
+            true => terms.terms.time_limit.saturating_sub(arrival.patience),
+            false => Duration::ZERO,
+        };
         let batch = Batch {
+            asked: now.saturating_sub(age),
             id: arrival.batch,
             row,
             tables: arrival.table_group,
@@ -632,8 +648,8 @@
             if batch.out.is_none() && row.terms.late_share <= LITTLE {
                 // Guards against queues of batches that are already too late: decided early, said at once.
                 // Harm: a batch much smaller than usual might still have been in time.
-                let start = batch.taken + Duration::from_secs_f64((row.goal() - row.span.mean()).max(0.0));
-                last = last.min(start.max(batch.taken + margin));
+                let start = batch.asked + Duration::from_secs_f64((row.goal() - row.span.mean()).max(0.0));
+                last = last.min(start);
             }
             if last <= now {
                 lost.push(seq);
