--- a/src/logic.rs
+++ b/src/logic.rs
@@ -23,6 +23,8 @@
 const REDRAW_AFTER: f64 = 0.05;
 
 // Figures of the departures.
+/// How priorities share short cores and disks.
+const SHARES: [f64; 4] = [1.0, 4.0, 8.0, 16.0];
 /// Share of what rule 4 would allow that all fronts together may send to a cold engine.
 const COLD_SHARE: f64 = 0.6;
 /// Until answers tell: work is this share of response goal times threads.
@@ -37,7 +39,7 @@
 /// A load report older than this share of the longest time limit is no longer used.
 const REPORT_AGE: f64 = 0.15;
 /// A dispatch that needs more than this many usual spans from here is tried elsewhere.
-const FAR_BEHIND: f64 = 4.0;
+const FAR_BEHIND: f64 = 6.0;
 /// A further try that again needs at least this share of the last projection shows a truly large batch.
 const AS_LARGE: f64 = 0.5;
 /// A batch earning at most this share once late is given up when its response goal is out of reach.
@@ -49,6 +51,8 @@
 const SHRINK_GAP: f64 = 0.5;
 /// Threads by which a pool grows for each pool's worth of good returns.
 const GROW: f64 = 0.5;
+/// The share of its response goal that a batch is always given to be dispatched in.
+const START_BY: f64 = 0.25;
 /// A first try is given at least this share of the most patience seen.
 const FIRST_TRY: f64 = 0.98;
 /// Above this share of busy cores a report no longer tells how many threads run.
@@ -102,13 +106,18 @@
     priority: u8,
     /// Work of a batch, in seconds on one thread.
     work: Fading,
-    /// Time from dispatch to return, in seconds.
-    span: Fading,
+    /// Time from dispatch to return: the logarithm of seconds, which tells the usual.
+    log_span: Fading,
     /// The longest that a client has given a try.
     patience: Duration,
 }
 
 impl Row {
+    /// The usual time from dispatch to return, in seconds.
+    fn usual(&self) -> f64 {
+        self.log_span.mean().exp()
+    }
+
     /// How far the response goal lies after arrival, in seconds, for the usual work.
     fn goal(&self) -> f64 {
         let own = self.terms.stretch * self.work.mean() / self.terms.threads.max(1.0);
@@ -159,6 +168,8 @@
 struct Engine {
     entry: EngineEntry,
     threads: f64,
+    /// The same, by priority.
+    ranked: [f64; 4],
     out: u32,
     loads: BTreeMap<u64, u32>,
     readers: BTreeMap<u64, u32>,
@@ -191,6 +202,15 @@
     waits: bool,
 }
 
+impl Engine {
+    /// This front's threads there as a batch of a priority feels them: short cores are shared by priority,
+    /// so that work of a lower one counts only by its share.
+    fn felt(&self, priority: u8) -> f64 {
+        let own = SHARES[usize::from(priority)];
+        self.ranked.iter().zip(SHARES).map(|(threads, share)| threads * (share / own).min(1.0)).sum()
+    }
+}
+
 /// One front's decisions.
 pub struct Gateway {
     stated: Deployment,
@@ -244,12 +264,14 @@
                 let goal = terms.response_goal.as_secs_f64();
                 // Short beside long: the shorter the response goal, the larger the share of short cores.
                 let rank = goals.iter().position(|g| *g == terms.response_goal).unwrap_or(0);
-                let priority = if stated.priorities { 3u8.saturating_sub(rank as u8) } else { 1 };
+                // A load goes with the shortest: until it ends, all that reads its group there stands still.
+                let rank = if terms.load { 0 } else { rank as u8 };
+                let priority = if stated.priorities { 3u8.saturating_sub(rank) } else { 1 };
                 Row {
                     terms: terms.clone(),
                     priority,
                     work: Fading::new(memory, goal * terms.threads * WORK_GUESS),
-                    span: Fading::new(memory, goal * WORK_GUESS),
+                    log_span: Fading::new(memory, (goal * WORK_GUESS).max(1e-3).ln()),
                     patience: Duration::ZERO,
                 }
             })
@@ -338,6 +360,7 @@
                         pool: cores * GATE_MARK / f64::from(self.stated.fronts.max(1)),
                         shrunk: Duration::ZERO,
                         threads: 0.0,
+                        ranked: [0.0; 4],
                         out: 0,
                         loads: BTreeMap::new(),
                         readers: BTreeMap::new(),
@@ -432,7 +455,7 @@
             return;
         };
         let age = now.saturating_sub(out.at).as_secs_f64();
-        let row = &self.rows[batch.row];
+        let row = &mut self.rows[batch.row];
         match note {
             Note::WaitsForLoad => {
                 // Another front's load holds the group there: a conflict just like one of our own.
@@ -450,7 +473,7 @@
                 // and stays. Harm: work done so far is lost.
                 let total = age / share.clamp(1e-3, 1.0);
                 let large = batch.projected.is_some_and(|last| total > last * AS_LARGE);
-                if total - age > FAR_BEHIND * row.span.mean() && !large {
+                if total - age > FAR_BEHIND * row.usual() && !large {
                     batch.projected = Some(total);
                     self.move_on(seq);
                 }
@@ -499,6 +522,7 @@
             let row = &mut self.rows[batch.row];
             if let Some(engine) = self.engines.get_mut(&ending.engine) {
                 engine.threads -= row.terms.threads;
+                engine.ranked[usize::from(row.priority)] -= row.terms.threads;
                 engine.out -= 1;
                 if row.terms.load {
                     one_less(&mut engine.loads, batch.tables);
@@ -513,7 +537,7 @@
                     row.terms.response_goal.as_secs_f64() + row.terms.stretch * work / row.terms.threads;
                 let threads = row.terms.threads;
                 pressure = Some((span > goal * PRESSED, threads));
-                row.span.add(now, span);
+                row.log_span.add(now, span.max(1e-3).ln());
                 row.work.add(now, ending.cost.map_or(span * row.terms.threads, |c| c.work.as_secs_f64()));
             }
             if !outcome.never_ran() && batch.may_have_run.is_none() {
@@ -648,7 +672,9 @@
             if batch.out.is_none() && row.terms.late_share <= LITTLE {
                 // Guards against queues of batches that are already too late: decided early, said at once.
                 // Harm: a batch much smaller than usual might still have been in time.
-                let start = batch.asked + Duration::from_secs_f64((row.goal() - row.span.mean()).max(0.0));
+                // A usual span that has grown never takes all of the goal, or the group would end unserved.
+                let goal = row.goal();
+                let start = batch.asked + Duration::from_secs_f64(goal * START_BY);
                 last = last.min(start);
             }
             if last <= now {
@@ -892,9 +918,10 @@
             return Some(least.0);
         }
         desirable.retain(|(_, load)| *load <= least.1 + MARGIN);
+        let priority = self.rows[batch.row].priority;
         for (id, _) in desirable {
             let engine = &self.engines[&id];
-            let chance = (GATE_END - engine.threads / engine.pool) / (GATE_END - 1.0);
+            let chance = (GATE_END - engine.felt(priority) / engine.pool) / (GATE_END - 1.0);
             if chance >= 1.0 || self.chance.draw() < chance {
                 return Some(id);
             }
@@ -934,6 +961,7 @@
                     batch.sent += 1;
                     if let Some(engine) = self.engines.get_mut(&engine) {
                         engine.threads += row.terms.threads;
+                        engine.ranked[usize::from(row.priority)] += row.terms.threads;
                         engine.out += 1;
                         if row.terms.load {
                             *engine.loads.entry(batch.tables).or_default() += 1;
