Hold batches back where engines would run out of memory

Answers tell what batches need; what this front has out, times the multiple that all fronts run, must stay under a share of the engine's memory. The multiple is learned in calm only and allows for threads that read or wait.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -53,8 +53,12 @@
 const GROW: f64 = 0.5;
 /// The share of its response goal that a batch is always given to be dispatched in.
 const START_BY: f64 = 0.25;
+/// Share of an engine's memory that all fronts' batches may need for one more to be let in.
+const MEMORY_FULL: f64 = 0.6;
 /// A first try is given at least this share of the most patience seen.
 const FIRST_TRY: f64 = 0.98;
+/// The part of its time that a running thread spends on cores.
+const ON_CORES: f64 = 0.3;
 /// Above this share of busy cores a report no longer tells how many threads run.
 const SATURATED: f64 = 0.9;
 /// Advice on when to come back, as a share of the response goal.
@@ -108,6 +112,8 @@
     work: Fading,
     /// Time from dispatch to return: the logarithm of seconds, which tells the usual.
     log_span: Fading,
+    /// Memory that a batch needs, in MB, as answers tell.
+    memory: Fading,
     /// The longest that a client has given a try.
     patience: Duration,
 }
@@ -170,6 +176,8 @@
     threads: f64,
     /// The same, by priority.
     ranked: [f64; 4],
+    /// Batches of this front there, by service group.
+    rows: Vec<u32>,
     out: u32,
     loads: BTreeMap<u64, u32>,
     readers: BTreeMap<u64, u32>,
@@ -272,6 +280,7 @@
                     priority,
                     work: Fading::new(memory, goal * terms.threads * WORK_GUESS),
                     log_span: Fading::new(memory, (goal * WORK_GUESS).max(1e-3).ln()),
+                    memory: Fading::new(memory, 0.0),
                     patience: Duration::ZERO,
                 }
             })
@@ -361,6 +370,7 @@
                         shrunk: Duration::ZERO,
                         threads: 0.0,
                         ranked: [0.0; 4],
+                        rows: vec![0; self.rows.len()],
                         out: 0,
                         loads: BTreeMap::new(),
                         readers: BTreeMap::new(),
@@ -426,9 +436,10 @@
     fn hear_load(&mut self, now: Duration, engine: EngineId, load: Option<LoadReport>) {
         if let (Some(engine), Some(load)) = (self.engines.get_mut(&engine), load) {
             // How many times this front's threads the engines bear, learned while reports can tell it.
-            if let Some(busy) = load.cores_busy.filter(|busy| *busy < SATURATED) {
+            let calm = now >= engine.shrunk + self.longest.mul_f64(REPORT_AGE);
+            if let Some(busy) = load.cores_busy.filter(|busy| calm && *busy < SATURATED) {
                 let cores = self.stated.machines.get(engine.entry.kind as usize).map_or(1.0, |m| m.cores);
-                self.multiple.add_weighted(now, busy * cores, engine.threads);
+                self.multiple.add_weighted(now, busy * cores, engine.threads * ON_CORES);
             }
             engine.report = Some(Report { at: now, load, threads: engine.threads, out: engine.out });
         }
@@ -523,6 +534,7 @@
             if let Some(engine) = self.engines.get_mut(&ending.engine) {
                 engine.threads -= row.terms.threads;
                 engine.ranked[usize::from(row.priority)] -= row.terms.threads;
+                engine.rows[batch.row] -= 1;
                 engine.out -= 1;
                 if row.terms.load {
                     one_less(&mut engine.loads, batch.tables);
@@ -537,6 +549,9 @@
                     row.terms.response_goal.as_secs_f64() + row.terms.stretch * work / row.terms.threads;
                 let threads = row.terms.threads;
                 pressure = Some((span > goal * PRESSED, threads));
+                if let Some(cost) = ending.cost {
+                    row.memory.add(now, cost.memory_mb);
+                }
                 row.log_span.add(now, span.max(1e-3).ln());
                 row.work.add(now, ending.cost.map_or(span * row.terms.threads, |c| c.work.as_secs_f64()));
             }
@@ -880,6 +895,15 @@
         threads / cores
     }
 
+    /// Guards against paging and spilling: what this front's batches there need, times the multiple that all
+    /// fronts run, as a share of the engine's memory. Harm: a front of little traffic knows its part badly.
+    fn memory_share(&self, engine: &Engine) -> f64 {
+        let own: f64 =
+            engine.rows.iter().zip(&self.rows).map(|(n, row)| f64::from(*n) * row.memory.mean()).sum();
+        let memory = self.stated.machines.get(engine.entry.kind as usize).map_or(0.0, |m| m.memory_mb);
+        if memory > 0.0 { own * self.multiple.mean().max(1.0) / memory } else { 0.0 }
+    }
+
     /// Hashed order, home first unless it exceeds the least loaded by the margin, then the gate.
     fn choose(&mut self, now: Duration, seq: u64) -> Option<EngineId> {
         let order = self.order(seq);
@@ -921,6 +945,9 @@
         let priority = self.rows[batch.row].priority;
         for (id, _) in desirable {
             let engine = &self.engines[&id];
+            if self.memory_share(engine) > MEMORY_FULL {
+                continue;
+            }
             let chance = (GATE_END - engine.felt(priority) / engine.pool) / (GATE_END - 1.0);
             if chance >= 1.0 || self.chance.draw() < chance {
                 return Some(id);
@@ -962,6 +989,7 @@
                     if let Some(engine) = self.engines.get_mut(&engine) {
                         engine.threads += row.terms.threads;
                         engine.ranked[usize::from(row.priority)] += row.terms.threads;
+                        engine.rows[batch.row] += 1;
                         engine.out += 1;
                         if row.terms.load {
                             *engine.loads.entry(batch.tables).or_default() += 1;
