Tell repeats by their mark, or by patience unlike what first tries bring

A quick repeat may bring more patience than first tries do, so that the longest seen aged all first tries, which then were pushed back at once, for good. Where clients mark repeats the mark is used, elsewhere a vote on the usual patience.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -133,14 +133,15 @@
     WhenProbed,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum EngineState {
+    #[default]
     Active,
     Leaving,
     Left,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct EngineEntry {
     pub engine: EngineId,
     pub location: u32,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -42,8 +42,6 @@
 const FAR_BEHIND: f64 = 6.0;
 /// A further try that again needs at least this share of the last projection shows a truly large batch.
 const AS_LARGE: f64 = 0.5;
-/// A batch earning at most this share once late is given up when its response goal is out of reach.
-const LITTLE: f64 = 0.7;
 /// A return after this share of its response goal shows pressure on its engine.
 const PRESSED: f64 = 0.6;
 /// What pressure leaves of an engine's pool, at most once in this share of the shortest response goal.
@@ -51,12 +49,13 @@
 const SHRINK_GAP: f64 = 0.5;
 /// Threads by which a pool grows for each pool's worth of good returns.
 const GROW: f64 = 0.5;
-/// The share of its response goal that a batch is always given to be dispatched in.
+/// The share of its response goal that a batch is given to be dispatched in.
 const START_BY: f64 = 0.25;
 /// Share of an engine's memory that all fronts' batches may need for one more to be let in.
 const MEMORY_FULL: f64 = 0.6;
-/// A first try is given at least this share of the most patience seen.
-const FIRST_TRY: f64 = 0.98;
+/// Patience is alike within this share of the time limit; each that is not counts so much against it.
+const ALIKE: f64 = 0.005;
+const AGAINST: f64 = 0.25;
 /// The part of its time that a running thread spends on cores.
 const ON_CORES: f64 = 0.3;
 /// Above this share of busy cores a report no longer tells how many threads run.
@@ -95,6 +94,7 @@
 }
 
 /// Multiply-with-carry.
+#[derive(Default)]
 struct Chance(u64);
 
 impl Chance {
@@ -114,8 +114,8 @@
     log_span: Fading,
     /// Memory that a batch needs, in MB, as answers tell.
     memory: Fading,
-    /// The longest that a client has given a try.
-    patience: Duration,
+    /// The time that clients give a first try, and the votes for it.
+    patience: (Duration, f64),
 }
 
 impl Row {
@@ -131,8 +131,9 @@
     }
 }
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, PartialEq, Default)]
 enum Wanted {
+    #[default]
     Held,
     Out(EngineId),
     PushedBack,
@@ -146,6 +147,7 @@
     cancelled: bool,
 }
 
+#[derive(Default)]
 struct Batch {
     id: BatchId,
     row: usize,
@@ -171,6 +173,7 @@
     over: bool,
 }
 
+#[derive(Default)]
 struct Engine {
     entry: EngineEntry,
     threads: f64,
@@ -211,6 +214,21 @@
 }
 
 impl Engine {
+    /// Counts a dispatch from when it goes out until its outcome is known.
+    fn bear(&mut self, index: usize, row: &Row, tables: u64, more: bool) {
+        let threads = if more { row.terms.threads } else { -row.terms.threads };
+        self.threads += threads;
+        self.ranked[usize::from(row.priority)] += threads;
+        let step = |count: &mut u32| *count = if more { *count + 1 } else { count.saturating_sub(1) };
+        step(&mut self.out);
+        step(&mut self.rows[index]);
+        if row.terms.load || row.terms.waits_for_loads {
+            let groups = if row.terms.load { &mut self.loads } else { &mut self.readers };
+            step(groups.entry(tables).or_default());
+            groups.retain(|_, count| *count > 0);
+        }
+    }
+
     /// This front's threads there as a batch of a priority feels them: short cores are shared by priority,
     /// so that work of a lower one counts only by its share.
     fn felt(&self, priority: u8) -> f64 {
@@ -220,6 +238,7 @@
 }
 
 /// One front's decisions.
+#[derive(Default)]
 pub struct Gateway {
     stated: Deployment,
     rows: Vec<Row>,
@@ -251,15 +270,6 @@
     x ^ (x >> 31)
 }
 
-fn one_less(counts: &mut BTreeMap<u64, u32>, tables: u64) {
-    if let Some(count) = counts.get_mut(&tables) {
-        *count -= 1;
-        if *count == 0 {
-            counts.remove(&tables);
-        }
-    }
-}
-
 impl Gateway {
     pub fn new(stated: Deployment, seed: u64) -> Self {
         let longest = stated.service_groups.iter().map(|t| t.time_limit).max().unwrap_or_default();
@@ -281,7 +291,7 @@
                     work: Fading::new(memory, goal * terms.threads * WORK_GUESS),
                     log_span: Fading::new(memory, (goal * WORK_GUESS).max(1e-3).ln()),
                     memory: Fading::new(memory, 0.0),
-                    patience: Duration::ZERO,
+                    patience: (Duration::ZERO, 0.0),
                 }
             })
             .collect();
@@ -289,23 +299,12 @@
         Gateway {
             rows,
             chance: Chance(mix(seed) | 1),
-            engines: BTreeMap::new(),
-            orders: BTreeMap::new(),
-            batches: BTreeMap::new(),
-            ids: BTreeMap::new(),
-            next: 0,
-            lanes: BTreeMap::new(),
-            header: None,
-            touched: BTreeSet::new(),
-            rescan: false,
             armed: Duration::MAX,
             multiple: Fading::new(memory, f64::from(stated.fronts.max(1))),
-            probe_credit: 0.0,
-            arrivals: VecDeque::new(),
-            further: VecDeque::new(),
             ask_at,
             longest,
             stated,
+            ..Gateway::default()
         }
     }
 
@@ -340,8 +339,7 @@
                     self.strike(now, engine);
                 }
             }
-            Event::Message { .. } => {}
-            Event::Woke => {}
+            Event::Message { .. } | Event::Woke => {}
         }
     }
 
@@ -364,24 +362,11 @@
                     engine.entry = entry;
                 }
                 None => {
-                    let cores = self.stated.machines.get(entry.kind as usize).map_or(1.0, |m| m.cores);
-                    let engine = Engine {
-                        pool: cores * GATE_MARK / f64::from(self.stated.fronts.max(1)),
-                        shrunk: Duration::ZERO,
-                        threads: 0.0,
-                        ranked: [0.0; 4],
-                        rows: vec![0; self.rows.len()],
-                        out: 0,
-                        loads: BTreeMap::new(),
-                        readers: BTreeMap::new(),
-                        foreign: BTreeMap::new(),
-                        sent: VecDeque::new(),
-                        report: None,
-                        probed: Duration::ZERO,
-                        strikes: 0,
-                        rests_until: Duration::ZERO,
-                        entry,
-                    };
+                    let pool = self.stated.machines.get(entry.kind as usize).map_or(1.0, |m| m.cores)
+                        * GATE_MARK
+                        / f64::from(self.stated.fronts.max(1));
+                    let rows = vec![0; self.rows.len()];
+                    let engine = Engine { pool, rows, entry, ..Engine::default() };
                     self.engines.insert(engine.entry.engine, engine);
                 }
             }
@@ -404,12 +389,20 @@
         self.ids.insert(arrival.batch.clone(), seq);
         // Guards against serving repeats that come too late to count: a client that gives a try less time
         // than others has asked before, and its response goal has run since then.
-        let terms = &mut self.rows[row];
-        terms.patience = terms.patience.max(arrival.patience);
-        let age = match arrival.patience < terms.patience.mul_f64(FIRST_TRY) {
-            true => terms.terms.time_limit.saturating_sub(arrival.patience),
-            false => Duration::ZERO,
+        // Where clients don't mark them, a vote tells the patience that first tries come with.
+        let table = &mut self.rows[row];
+        let (limit, usual) = (table.terms.time_limit, &mut table.patience);
+        let alike = usual.0.abs_diff(arrival.patience) < limit.mul_f64(ALIKE);
+        usual.1 += if alike { 1.0 } else { -AGAINST };
+        if usual.1 <= 0.0 {
+            *usual = (arrival.patience, 1.0);
+        }
+        let repeat = if self.stated.repeats_marked {
+            arrival.repeat
+        } else {
+            usual.0.abs_diff(arrival.patience) >= limit.mul_f64(ALIKE)
         };
+        let age = if repeat { limit.saturating_sub(arrival.patience) } else { Duration::ZERO };
         let batch = Batch {
             asked: now.saturating_sub(age),
             id: arrival.batch,
@@ -418,16 +411,9 @@
             key,
             taken: now,
             limit: now + arrival.patience,
-            sent: 0,
-            may_have_run: None,
-            out: None,
-            wanted: Wanted::Held,
             priority: 1,
-            avoid: None,
-            projected: None,
             next_draw: now,
-            streaming: false,
-            over: false,
+            ..Batch::default()
         };
         self.batches.insert(seq, batch);
         self.rescan = true;
@@ -438,8 +424,11 @@
             // How many times this front's threads the engines bear, learned while reports can tell it.
             let calm = now >= engine.shrunk + self.longest.mul_f64(REPORT_AGE);
             if let Some(busy) = load.cores_busy.filter(|busy| calm && *busy < SATURATED) {
-                let cores = self.stated.machines.get(engine.entry.kind as usize).map_or(1.0, |m| m.cores);
-                self.multiple.add_weighted(now, busy * cores, engine.threads * ON_CORES);
+                self.multiple.add_weighted(
+                    now,
+                    busy * cores(&self.stated, &engine.entry),
+                    engine.threads * ON_CORES,
+                );
             }
             engine.report = Some(Report { at: now, load, threads: engine.threads, out: engine.out });
         }
@@ -532,15 +521,7 @@
             batch.out = None;
             let row = &mut self.rows[batch.row];
             if let Some(engine) = self.engines.get_mut(&ending.engine) {
-                engine.threads -= row.terms.threads;
-                engine.ranked[usize::from(row.priority)] -= row.terms.threads;
-                engine.rows[batch.row] -= 1;
-                engine.out -= 1;
-                if row.terms.load {
-                    one_less(&mut engine.loads, batch.tables);
-                } else if row.terms.waits_for_loads {
-                    one_less(&mut engine.readers, batch.tables);
-                }
+                engine.bear(batch.row, row, batch.tables, false);
             }
             let span = ending.after.as_secs_f64();
             if outcome == Outcome::Returned {
@@ -587,12 +568,12 @@
     fn feel(&mut self, now: Duration, id: EngineId, pressed: bool, threads: f64) {
         let shortest = self.rows.iter().map(|r| r.terms.response_goal).min().unwrap_or_default();
         let Some(engine) = self.engines.get_mut(&id) else { return };
-        let cores = self.stated.machines.get(engine.entry.kind as usize).map_or(1.0, |m| m.cores);
+        let most = cores(&self.stated, &engine.entry) * GATE_MARK * GATE_END;
         if pressed && now >= engine.shrunk + shortest.mul_f64(SHRINK_GAP) {
             engine.pool = (engine.pool * SHRINK).max(1.0);
             engine.shrunk = now;
         } else if !pressed && engine.threads + threads > engine.pool {
-            engine.pool = (engine.pool + GROW * threads / engine.pool).min(cores * GATE_MARK * GATE_END);
+            engine.pool = (engine.pool + GROW * threads / engine.pool).min(most);
         }
     }
 
@@ -684,7 +665,7 @@
             }
             let row = &self.rows[batch.row];
             let mut last = batch.limit.saturating_sub(margin);
-            if batch.out.is_none() && row.terms.late_share <= LITTLE {
+            if batch.out.is_none() {
                 // Guards against queues of batches that are already too late: decided early, said at once.
                 // Harm: a batch much smaller than usual might still have been in time.
                 // A usual span that has grown never takes all of the goal, or the group would end unserved.
@@ -842,7 +823,7 @@
         if !self.cold(now, engine) {
             return true;
         }
-        let cores = self.cores(engine);
+        let cores = cores(&self.stated, &engine.entry);
         let bears = duties.fall_multiple * duties.cold_from * cores * duties.fall_after.as_secs_f64();
         let room = bears * COLD_SHARE / f64::from(self.stated.fronts.max(1));
         let recent = engine.sent.iter().filter(|(at, _)| *at + duties.fall_after + self.stated.tick > now);
@@ -855,10 +836,6 @@
         started > Duration::ZERO && now < started + self.stated.duties.cold_for
     }
 
-    fn cores(&self, engine: &Engine) -> f64 {
-        self.stated.machines.get(engine.entry.kind as usize).map_or(1.0, |m| m.cores.max(1.0))
-    }
-
     /// The paper's test, on this front's running batches and on loads that notes have shown.
     fn conflicts(&self, now: Duration, batch: &Batch, id: EngineId) -> bool {
         let Some(engine) = self.engines.get(&id) else { return true };
@@ -879,7 +856,7 @@
     /// Threads per core: as the engine reported, with what this front has changed since; with no report,
     /// this front's own times the number of fronts.
     fn threads_per_core(&self, now: Duration, engine: &Engine) -> f64 {
-        let cores = self.cores(engine);
+        let cores = cores(&self.stated, &engine.entry);
         let fresh = self.longest.mul_f64(REPORT_AGE);
         let threads = match engine.report.as_ref().filter(|r| r.at + fresh > now) {
             Some(Report { load: LoadReport { held: Some(held), .. }, out, .. }) => {
@@ -987,15 +964,7 @@
                     }
                     batch.sent += 1;
                     if let Some(engine) = self.engines.get_mut(&engine) {
-                        engine.threads += row.terms.threads;
-                        engine.ranked[usize::from(row.priority)] += row.terms.threads;
-                        engine.rows[batch.row] += 1;
-                        engine.out += 1;
-                        if row.terms.load {
-                            *engine.loads.entry(batch.tables).or_default() += 1;
-                        } else if row.terms.waits_for_loads {
-                            *engine.readers.entry(batch.tables).or_default() += 1;
-                        }
+                        engine.bear(batch.row, row, batch.tables, true);
                         engine.sent.push_back((now, row.work.mean()));
                         while engine.sent.front().is_some_and(|(at, _)| {
                             *at + self.stated.duties.fall_after + self.stated.tick <= now
@@ -1025,6 +994,10 @@
     }
 }
 
+fn cores(stated: &Deployment, entry: &EngineEntry) -> f64 {
+    stated.machines.get(entry.kind as usize).map_or(1.0, |m| m.cores.max(1.0))
+}
+
 /// Whether a batch waits for a dispatch.
 fn held(batch: &Batch) -> bool {
     !batch.over && batch.out.is_none() && batch.wanted == Wanted::Held
