Shorten the module; batches that wait their turn by key have all of their goal

Arrivals are remembered only under a budget, and idle key lanes are dropped, so that nothing grows without end.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -124,10 +124,9 @@
         self.log_span.mean().exp()
     }
 
-    /// How far the response goal lies after arrival, in seconds, for the usual work.
-    fn goal(&self) -> f64 {
-        let own = self.terms.stretch * self.work.mean() / self.terms.threads.max(1.0);
-        self.terms.response_goal.as_secs_f64() + own
+    /// How far the response goal lies after arrival, for so much work; all in seconds.
+    fn goal(&self, work: f64) -> f64 {
+        self.terms.response_goal.as_secs_f64() + self.terms.stretch * work / self.terms.threads.max(1.0)
     }
 }
 
@@ -229,6 +228,17 @@
         }
     }
 
+    /// Moves the mark by the pressure that this front's own batches feel: from other fronts, other programs,
+    /// slow cores or short memory alike. Harm: batches slow of their own shrink it for a while.
+    fn feel(&mut self, now: Duration, pressed: bool, threads: f64, gap: Duration, most: f64) {
+        if pressed && now >= self.shrunk + gap {
+            self.pool = (self.pool * SHRINK).max(1.0);
+            self.shrunk = now;
+        } else if !pressed && self.threads + threads > self.pool {
+            self.pool = (self.pool + GROW * threads / self.pool).min(most);
+        }
+    }
+
     /// This front's threads there as a batch of a priority feels them: short cores are shared by priority,
     /// so that work of a lower one counts only by its share.
     fn felt(&self, priority: u8) -> f64 {
@@ -362,9 +372,7 @@
                     engine.entry = entry;
                 }
                 None => {
-                    let pool = self.stated.machines.get(entry.kind as usize).map_or(1.0, |m| m.cores)
-                        * GATE_MARK
-                        / f64::from(self.stated.fronts.max(1));
+                    let pool = cores(&self.stated, &entry) * GATE_MARK / f64::from(self.stated.fronts.max(1));
                     let rows = vec![0; self.rows.len()];
                     let engine = Engine { pool, rows, entry, ..Engine::default() };
                     self.engines.insert(engine.entry.engine, engine);
@@ -377,7 +385,12 @@
     }
 
     fn hear_arrival(&mut self, now: Duration, arrival: Arrival) {
-        self.arrivals.push_back(now);
+        if self.rows.is_empty() {
+            return;
+        }
+        if self.stated.duties.budget.is_some() {
+            self.arrivals.push_back(now);
+        }
         self.probe_credit = (self.probe_credit + PROBES_PER_BATCH).min(self.engines.len() as f64);
         let row = arrival.service_group.min(self.rows.len().saturating_sub(1));
         let seq = self.next;
@@ -424,11 +437,8 @@
             // How many times this front's threads the engines bear, learned while reports can tell it.
             let calm = now >= engine.shrunk + self.longest.mul_f64(REPORT_AGE);
             if let Some(busy) = load.cores_busy.filter(|busy| calm && *busy < SATURATED) {
-                self.multiple.add_weighted(
-                    now,
-                    busy * cores(&self.stated, &engine.entry),
-                    engine.threads * ON_CORES,
-                );
+                let all = busy * cores(&self.stated, &engine.entry);
+                self.multiple.add_weighted(now, all, engine.threads * ON_CORES);
             }
             engine.report = Some(Report { at: now, load, threads: engine.threads, out: engine.out });
         }
@@ -437,14 +447,10 @@
     /// Guards against an engine that is dead, cut off or out of connections, whatever the cause: it rests,
     /// longer with each strike, and one answer heals it. Harm: a passing fault costs one short rest.
     fn strike(&mut self, now: Duration, engine: EngineId) {
-        if let Some(engine) = self.engines.get_mut(&engine) {
-            if engine.rests_until > now {
-                return;
-            }
+        if let Some(engine) = self.engines.get_mut(&engine).filter(|e| e.rests_until <= now) {
             engine.strikes = (engine.strikes + 1).min(MOST_STRIKES);
-            let rest =
-                self.stated.permits.connect_timeout.mul_f64(REST * f64::from(1 << (engine.strikes - 1)));
-            engine.rests_until = now + rest;
+            let rest = REST * f64::from(1 << (engine.strikes - 1));
+            engine.rests_until = now + self.stated.permits.connect_timeout.mul_f64(rest);
         }
     }
 
@@ -489,11 +495,10 @@
         }
         if let Some(batch) = self.batches.get_mut(&seq) {
             let once_only = self.rows[batch.row].terms.effect == Effect::OnceOnly;
-            if once_only || batch.streaming || batch.over {
-                return;
+            if !once_only && !batch.streaming && !batch.over {
+                batch.wanted = Wanted::Held;
+                self.touched.insert(seq);
             }
-            batch.wanted = Wanted::Held;
-            self.touched.insert(seq);
         }
     }
 
@@ -514,27 +519,28 @@
             }
             _ => {}
         }
-        let mut pressure = None;
+        let shortest = self.rows.iter().map(|r| r.terms.response_goal).min().unwrap_or_default();
         let Some(&seq) = self.ids.get(&ending.batch) else { return };
         let Some(batch) = self.batches.get_mut(&seq) else { return };
         if batch.out.as_ref().is_some_and(|out| out.number == ending.dispatch) {
             batch.out = None;
             let row = &mut self.rows[batch.row];
+            let span = ending.after.as_secs_f64();
+            let work = ending.cost.map(|c| c.work.as_secs_f64());
             if let Some(engine) = self.engines.get_mut(&ending.engine) {
                 engine.bear(batch.row, row, batch.tables, false);
+                if outcome == Outcome::Returned {
+                    let pressed = span > row.goal(work.unwrap_or(row.work.mean())) * PRESSED;
+                    let most = cores(&self.stated, &engine.entry) * GATE_MARK * GATE_END;
+                    engine.feel(now, pressed, row.terms.threads, shortest.mul_f64(SHRINK_GAP), most);
+                }
             }
-            let span = ending.after.as_secs_f64();
             if outcome == Outcome::Returned {
-                let work = ending.cost.map_or(row.work.mean(), |c| c.work.as_secs_f64());
-                let goal =
-                    row.terms.response_goal.as_secs_f64() + row.terms.stretch * work / row.terms.threads;
-                let threads = row.terms.threads;
-                pressure = Some((span > goal * PRESSED, threads));
                 if let Some(cost) = ending.cost {
                     row.memory.add(now, cost.memory_mb);
                 }
                 row.log_span.add(now, span.max(1e-3).ln());
-                row.work.add(now, ending.cost.map_or(span * row.terms.threads, |c| c.work.as_secs_f64()));
+                row.work.add(now, work.unwrap_or(span * row.terms.threads));
             }
             if !outcome.never_ran() && batch.may_have_run.is_none() {
                 batch.may_have_run = Some((now.saturating_sub(ending.after), ending.engine));
@@ -551,9 +557,6 @@
             }
         }
         self.rescan = true;
-        if let Some((pressed, threads)) = pressure {
-            self.feel(now, ending.engine, pressed, threads);
-        }
         if ending.over || outcome == Outcome::Returned {
             self.close(seq);
         } else if self.batches.get(&seq).is_some_and(|b| b.over) {
@@ -563,20 +566,6 @@
         }
     }
 
-    /// Moves an engine's mark by the pressure that this front's own batches feel there: from other fronts,
-    /// other programs, slow cores or short memory alike.
-    fn feel(&mut self, now: Duration, id: EngineId, pressed: bool, threads: f64) {
-        let shortest = self.rows.iter().map(|r| r.terms.response_goal).min().unwrap_or_default();
-        let Some(engine) = self.engines.get_mut(&id) else { return };
-        let most = cores(&self.stated, &engine.entry) * GATE_MARK * GATE_END;
-        if pressed && now >= engine.shrunk + shortest.mul_f64(SHRINK_GAP) {
-            engine.pool = (engine.pool * SHRINK).max(1.0);
-            engine.shrunk = now;
-        } else if !pressed && engine.threads + threads > engine.pool {
-            engine.pool = (engine.pool + GROW * threads / engine.pool).min(most);
-        }
-    }
-
     /// A dispatch ended without an answer: held for another, or given up at once.
     fn settle_failure(&mut self, now: Duration, seq: u64) {
         let again = self.may_go_again(seq);
@@ -668,10 +657,9 @@
             if batch.out.is_none() {
                 // Guards against queues of batches that are already too late: decided early, said at once.
                 // Harm: a batch much smaller than usual might still have been in time.
-                // A usual span that has grown never takes all of the goal, or the group would end unserved.
-                let goal = row.goal();
-                let start = batch.asked + Duration::from_secs_f64(goal * START_BY);
-                last = last.min(start);
+                // One that waits its turn by key has all of the goal.
+                let share = if batch.key.is_some() { 1.0 } else { START_BY };
+                last = last.min(batch.asked + Duration::from_secs_f64(row.goal(row.work.mean()) * share));
             }
             if last <= now {
                 lost.push(seq);
@@ -709,6 +697,7 @@
 
     /// One pass over the held batches, oldest first.
     fn scan(&mut self, now: Duration, actions: &mut Vec<Action>) -> Duration {
+        self.lanes.retain(|_, (lane, free)| !lane.is_empty() || *free > now);
         let waiting: Vec<u64> = self.batches.iter().filter(|(_, b)| held(b)).map(|(&s, _)| s).collect();
         if let Some(&oldest) = waiting.first().filter(|_| self.header.is_none()) {
             let batch = &self.batches[&oldest];
@@ -746,10 +735,7 @@
 
     /// Rule 7, kept for a tick more than the span asks.
     fn budget_left(&mut self, now: Duration) -> bool {
-        let Some(budget) = self.stated.duties.budget else {
-            self.arrivals.clear();
-            return true;
-        };
+        let Some(budget) = self.stated.duties.budget else { return true };
         while self.arrivals.front().is_some_and(|at| *at + budget.span <= now + self.stated.tick) {
             self.arrivals.pop_front();
         }
@@ -978,9 +964,8 @@
                 }
                 Wanted::PushedBack => {
                     let permits = &self.stated.permits;
-                    let come_back = permits
-                        .come_back
-                        .then(|| row.terms.response_goal.mul_f64(COME_BACK).min(permits.longest_come_back));
+                    let wait = row.terms.response_goal.mul_f64(COME_BACK).min(permits.longest_come_back);
+                    let come_back = permits.come_back.then_some(wait);
                     actions.push(Action::PushBack { batch: id, come_back });
                     self.close(seq);
                 }
