--- a/src/logic.rs
+++ b/src/logic.rs
@@ -53,6 +53,8 @@
 const START_BY: f64 = 0.25;
 /// Share of an engine's memory that all fronts' batches may need for one more to be let in.
 const MEMORY_FULL: f64 = 0.6;
+/// The part of granted memory that batches need.
+const GRANTED: f64 = 0.6;
 /// Patience is alike within this share of the time limit; each that is not counts so much against it.
 const ALIKE: f64 = 0.005;
 const AGAINST: f64 = 0.25;
@@ -864,7 +866,9 @@
         let own: f64 =
             engine.rows.iter().zip(&self.rows).map(|(n, row)| f64::from(*n) * row.memory.mean()).sum();
         let memory = self.stated.machines.get(engine.entry.kind as usize).map_or(0.0, |m| m.memory_mb);
-        if memory > 0.0 { own * self.multiple.mean().max(1.0) / memory } else { 0.0 }
+        let told = engine.report.as_ref().and_then(|r| r.load.memory_granted).unwrap_or(0.0);
+        let need = if memory > 0.0 { own * self.multiple.mean().max(1.0) / memory } else { 0.0 };
+        need.max(told * GRANTED)
     }
 
     /// Hashed order, home first unless it exceeds the least loaded by the margin, then the gate.
