--- a/src/logic.rs
+++ b/src/logic.rs
@@ -14,7 +14,7 @@
 /// At this multiple of the mark the chance of being let in has fallen to nothing.
 const GATE_END: f64 = 3.0;
 /// Threads per core by which an engine may exceed the least loaded and still be taken in hashed order.
-const MARGIN: f64 = 0.5;
+const MARGIN: f64 = 0.8;
 /// The oldest batch held longer than this share of the longest time limit becomes the header.
 const HEADER_AFTER: f64 = 0.1;
 /// Past this share of its time limit a batch goes to the least loaded desirable engine, gate or no gate.
@@ -169,6 +169,8 @@
     /// How long its last dispatch would have taken in all, in seconds.
     projected: Option<f64>,
     next_draw: Duration,
+    /// A gate refused its last draw; it draws again in its own time.
+    refused: bool,
     streaming: bool,
     /// It has its final answer; only a dispatch's outcome is awaited.
     over: bool,
@@ -265,6 +267,8 @@
     header: Option<Header>,
     touched: BTreeSet<u64>,
     rescan: bool,
+    /// A dispatch has ended since the last scan: what no gate has refused is looked at again.
+    finished: bool,
     armed: Duration,
     /// What all fronts together run, as a multiple of this front's.
     multiple: Fading,
@@ -526,6 +530,7 @@
         let Some(batch) = self.batches.get_mut(&seq) else { return };
         if batch.out.as_ref().is_some_and(|out| out.number == ending.dispatch) {
             batch.out = None;
+            self.finished = true;
             let row = &mut self.rows[batch.row];
             let span = ending.after.as_secs_f64();
             let work = ending.cost.map(|c| c.work.as_secs_f64());
@@ -554,6 +559,7 @@
             }
             batch.avoid = Some(ending.engine);
             batch.next_draw = now;
+            batch.refused = false;
             if batch.wanted == Wanted::Out(ending.engine) {
                 batch.wanted = Wanted::Held;
             }
@@ -699,6 +705,7 @@
 
     /// One pass over the held batches, oldest first.
     fn scan(&mut self, now: Duration, actions: &mut Vec<Action>) -> Duration {
+        let finished = std::mem::take(&mut self.finished);
         self.lanes.retain(|_, (lane, free)| !lane.is_empty() || *free > now);
         let waiting: Vec<u64> = self.batches.iter().filter(|(_, b)| held(b)).map(|(&s, _)| s).collect();
         if let Some(&oldest) = waiting.first().filter(|_| self.header.is_none()) {
@@ -711,7 +718,7 @@
             let in_turn = (self.batches[&seq].key)
                 .and_then(|key| self.lanes.get(&key))
                 .is_none_or(|(lane, free)| lane.front() == Some(&seq) && *free <= now);
-            let drawn = self.batches[&seq].next_draw <= now;
+            let drawn = self.batches[&seq].next_draw <= now || (finished && !self.batches[&seq].refused);
             let further = self.batches[&seq].sent > 0;
             if !in_turn || !drawn || (further && !self.budget_left(now)) {
                 continue;
@@ -909,6 +916,8 @@
             return Some(least.0);
         }
         desirable.retain(|(_, load)| *load <= least.1 + MARGIN);
+        self.batches.entry(seq).and_modify(|b| b.refused = true);
+        let batch = &self.batches[&seq];
         let priority = self.rows[batch.row].priority;
         for (id, _) in desirable {
             let engine = &self.engines[&id];
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,273 @@
+//! Short stories, one for each failure met or rule kept.
+
+mod host;
+
+use host::*;
+use lemonusher::*;
+
+#[test]
+fn a_table_group_has_the_same_home_at_every_front() {
+    let homes = |number| {
+        let mut host = Host::with(Deployment { number, ..stated() }, (1..=6).map(entry).collect());
+        (0..20)
+            .map(|t| engine_of(&host.ask(&format!("b{t}"), SHORT, t), &format!("b{t}")))
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(homes(0), homes(1));
+    assert!(homes(0).iter().all(Option::is_some));
+}
+
+#[test]
+fn a_reader_keeps_off_an_engine_that_loads_its_group() {
+    let mut host = Host::of(2);
+    let loading = engine_of(&host.ask("load", LOAD, 9), "load").unwrap();
+    let reading = engine_of(&host.ask("read", SHORT, 9), "read").unwrap();
+    assert_ne!(loading, reading);
+    host.end("read", 0, reading, Outcome::Returned);
+    let mut host = Host::of(1);
+    host.ask("load", LOAD, 9);
+    assert_eq!(engine_of(&host.ask("read", SHORT, 9), "read"), None);
+    assert!(engine_of(&host.ask("other", SHORT, 8), "other").is_some());
+    assert!(engine_of(&host.end("load", 0, 1, Outcome::Returned), "read").is_some());
+}
+
+#[test]
+fn the_header_keeps_later_readers_from_its_engine() {
+    let mut terms = stated();
+    terms.service_groups[LOAD].response_goal = ms(40_000);
+    let mut host = Host::with(terms, vec![entry(1)]);
+    host.ask("reader", SHORT, 9);
+    assert_eq!(engine_of(&host.ask("load", LOAD, 9), "load"), None);
+    host.wait(ms(2100));
+    assert_eq!(engine_of(&host.ask("late", SHORT, 9), "late"), None);
+    let after = host.end("reader", 0, 1, Outcome::Returned);
+    assert_eq!(engine_of(&after, "load"), Some(1));
+    assert_eq!(engine_of(&after, "late"), None);
+}
+
+#[test]
+fn once_only_work_goes_again_only_if_it_never_ran() {
+    let mut host = Host::of(3);
+    let first = engine_of(&host.ask("load", LOAD, 1), "load").unwrap();
+    let second = engine_of(&host.end("load", 0, first, Outcome::NoConnection), "load").unwrap();
+    assert_ne!(first, second);
+    let after = host.end("load", 1, second, Outcome::Reset);
+    assert!(errored(&after, "load") && !pushed_back(&after, "load"));
+    assert_eq!(engine_of(&after, "load"), None);
+}
+
+#[test]
+fn a_batch_out_at_its_limit_is_answered_before_it() {
+    let mut host = Host::of(1);
+    host.ask("load", LOAD, 1);
+    assert!(!errored(&host.wait(ms(19_900)), "load"));
+    let last = host.wait(ms(95));
+    assert!(errored(&last, "load"));
+    assert!(last.contains(&Action::Cancel { batch: "load".into(), dispatch: 0 }));
+    assert!(!errored(&host.end("load", 0, 1, Outcome::Cancelled), "load"));
+}
+
+#[test]
+fn what_finds_no_place_is_pushed_back_early_with_a_time_to_come_back() {
+    let mut host = Host::with(stated(), vec![]);
+    assert!(!pushed_back(&host.ask("a", SHORT, 1), "a"));
+    let answer = host.wait(ms(600));
+    let told = |a: &Action| matches!(a, Action::PushBack { come_back: Some(wait), .. } if *wait <= ms(2000));
+    assert!(pushed_back(&answer, "a") && answer.iter().any(told));
+}
+
+#[test]
+fn a_repeat_that_comes_too_late_is_not_served() {
+    let mut host = Host::with(Deployment { repeats_marked: true, ..stated() }, vec![entry(1)]);
+    let late = host.ask_with("late", SHORT, 1, |a| (a.repeat, a.patience) = (true, ms(2000)));
+    assert!(pushed_back(&late, "late") && engine_of(&late, "late").is_none());
+}
+
+#[test]
+fn one_quick_repeat_does_not_make_all_first_tries_look_late() {
+    let mut host = Host::of(2);
+    let usual = |a: &mut Arrival| a.patience = ms(4300);
+    for n in 0..9 {
+        host.ask_with(&format!("{n}"), SHORT, n, usual);
+    }
+    host.ask_with("quick", SHORT, 20, |a| a.patience = ms(4900));
+    assert!(!pushed_back(&host.ask_with("first", SHORT, 21, usual), "first"));
+    assert!(pushed_back(&host.ask_with("slow", SHORT, 22, |a| a.patience = ms(2000)), "slow"));
+}
+
+#[test]
+fn a_draining_engine_gets_nothing_and_a_full_list_drops_the_missing() {
+    let mut host = Host::of(2);
+    let leaving = EngineEntry { state: EngineState::Leaving, ..entry(1) };
+    host.tell(Event::Roster(RosterKind::Changes, vec![leaving]));
+    let engines = host.flood(4, SHORT, 3);
+    assert!(!engines.is_empty() && engines.iter().all(|e| *e == 2));
+    host.tell(Event::Roster(RosterKind::Full, vec![entry(3)]));
+    let engines = host.flood(4, SHORT, 3);
+    assert!(!engines.is_empty() && engines.iter().all(|e| *e == 3));
+}
+
+#[test]
+fn a_cold_engine_gets_no_more_work_than_its_share_in_any_window() {
+    let mut host = Host::of(0);
+    let fresh = EngineEntry { started: host.now, ..entry(1) };
+    host.tell(Event::Roster(RosterKind::Changes, vec![fresh]));
+    let mut early = 0;
+    for _ in 0..15 {
+        early += host.flood(20, SHORT, 3).len();
+        host.wait(ms(100));
+    }
+    // Three times 0.3 of 8 cores for 1.5 s bears 10.8 s of work, of which half is ours; a batch weighs 0.5 s.
+    assert!((1..=10).contains(&early), "{early} went to the cold engine");
+}
+
+#[test]
+fn batches_of_one_key_go_one_at_a_time_and_wait_out_a_doubt() {
+    let mut terms = stated();
+    terms.service_groups[SHORT].ordered = true;
+    let mut host = Host::with(terms, vec![entry(1), entry(2)]);
+    let keyed = |a: &mut Arrival| (a.key, a.patience) = (Some(5), ms(5000));
+    let first = engine_of(&host.ask_with("first", SHORT, 1, keyed), "first").unwrap();
+    assert_eq!(engine_of(&host.ask_with("second", SHORT, 1, keyed), "second"), None);
+    assert!(engine_of(&host.ask("free", SHORT, 1), "free").is_some());
+    let after = host.end_with("first", 0, first, Outcome::TimedOut, |e| e.over = true);
+    assert_eq!(engine_of(&after, "second"), None);
+    assert_eq!(engine_of(&host.wait(ms(690)), "second"), None);
+    assert!(engine_of(&host.wait(ms(60)), "second").is_some());
+}
+
+#[test]
+fn a_bound_service_group_stays_where_it_may_go() {
+    let mut terms = stated();
+    terms.service_groups[SHORT].locations = Some(vec![1]);
+    let far = EngineEntry { location: 1, ..entry(3) };
+    let mut host = Host::with(terms, vec![entry(1), entry(2), far]);
+    assert_eq!(host.flood(3, SHORT, 4), vec![3; 3]);
+    let again = host.end("flood-1", 0, 3, Outcome::NoConnection);
+    assert_eq!(sent(&again).count(), 0);
+}
+
+#[test]
+fn further_dispatches_stay_within_their_budget() {
+    let mut terms = stated();
+    terms.duties.budget = Some(DispatchBudget { free: 1.0, share: 0.0, span: ms(10_000) });
+    let mut host = Host::with(terms, (1..=4).map(entry).collect());
+    let a = engine_of(&host.ask("a", SHORT, 1), "a").unwrap();
+    let b = engine_of(&host.ask("b", SHORT, 2), "b").unwrap();
+    assert!(engine_of(&host.end("a", 0, a, Outcome::Errored), "a").is_some());
+    assert_eq!(engine_of(&host.end("b", 0, b, Outcome::Errored), "b"), None);
+}
+
+#[test]
+fn referenced_work_in_doubt_goes_only_where_repeats_are_dropped() {
+    let mut terms = stated();
+    terms.service_groups[SHORT].effect = Effect::Referenced { reach: Reach::Location, remembered: ms(5000) };
+    let far = |engine| EngineEntry { location: 1, ..entry(engine) };
+    let mut host = Host::with(terms, vec![entry(1), entry(2), far(3), far(4)]);
+    let first = engine_of(&host.ask("a", SHORT, 1), "a").unwrap();
+    let second = engine_of(&host.end("a", 0, first, Outcome::Reset), "a").unwrap();
+    assert_eq!(first > 2, second > 2);
+    let gone: Vec<_> = [1, 2, 3, 4].map(|e| EngineEntry { state: EngineState::Left, ..entry(e) }).into();
+    host.tell(Event::Roster(RosterKind::Changes, gone));
+    host.end("a", 1, second, Outcome::Reset);
+    let answer = host.wait(ms(2000));
+    assert!(errored(&answer, "a") && !pushed_back(&answer, "a"));
+}
+
+#[test]
+fn an_engine_without_connections_rests_and_is_tried_with_care() {
+    let mut host = Host::of(2);
+    let dead = engine_of(&host.ask("a", SHORT, 1), "a").unwrap();
+    assert_ne!(engine_of(&host.end("a", 0, dead, Outcome::NoConnection), "a"), Some(dead));
+    assert!(!host.flood(6, SHORT, 1).contains(&dead));
+    host.wait(ms(600));
+    let trials = host.flood(6, SHORT, 1).into_iter().filter(|e| *e == dead).count();
+    assert_eq!(trials, 1);
+}
+
+#[test]
+fn a_note_of_waiting_for_a_load_moves_the_reader_and_warns_the_next() {
+    let mut host = Host::of(2);
+    let home = engine_of(&host.ask("a", SHORT, 1), "a").unwrap();
+    let cancel = host.note("a", 0, home, Note::WaitsForLoad);
+    assert!(cancel.contains(&Action::Cancel { batch: "a".into(), dispatch: 0 }));
+    let moved = engine_of(&host.end("a", 0, home, Outcome::Cancelled), "a").unwrap();
+    assert_ne!(moved, home);
+    assert_eq!(engine_of(&host.ask("b", SHORT, 1), "b"), Some(moved));
+}
+
+#[test]
+fn a_dispatch_far_behind_is_moved_but_a_truly_large_batch_stays() {
+    let mut host = Host::of(2);
+    let first = engine_of(&host.ask("a", REPORT, 1), "a").unwrap();
+    host.now += ms(700);
+    let cancel = host.note("a", 0, first, Note::Progress(0.02));
+    assert!(cancel.contains(&Action::Cancel { batch: "a".into(), dispatch: 0 }));
+    let second = engine_of(&host.end("a", 0, first, Outcome::Cancelled), "a").unwrap();
+    host.now += ms(700);
+    assert!(host.note("a", 1, second, Note::Progress(0.02)).iter().all(|a| matches!(a, Action::Wake { .. })));
+}
+
+#[test]
+fn memory_that_answers_tell_holds_back_what_would_page() {
+    let open = Host::of(1).flood(6, REPORT, 1).len();
+    let mut host = Host::of(1);
+    for n in 0..8 {
+        let id = format!("{n}");
+        host.ask(&id, REPORT, 1);
+        let cost = Cost { work: ms(400), memory_mb: 6000.0 };
+        host.end_with(&id, 0, 1, Outcome::Returned, |e| e.cost = Some(cost));
+    }
+    assert!(open > 1);
+    assert_eq!(host.flood(6, REPORT, 1).len(), 1);
+}
+
+#[test]
+fn memory_reported_as_granted_holds_batches_back() {
+    let mut host = Host::with(Deployment { reports: Reports::WithAnswers, ..stated() }, vec![entry(1)]);
+    let report = |granted| LoadReport { memory_granted: Some(granted), ..LoadReport::default() };
+    host.ask("a", SHORT, 1);
+    host.end_with("a", 0, 1, Outcome::Returned, |e| e.load = Some(report(1.2)));
+    assert_eq!(engine_of(&host.ask("b", SHORT, 1), "b"), None);
+    host.tell(Event::Probed { engine: 1, answered: true, load: Some(report(0.5)) });
+    assert_eq!(engine_of(&host.wait(ms(60)), "b"), Some(1));
+}
+
+#[test]
+fn returns_that_come_late_let_fewer_in() {
+    let after = |late: u64| {
+        let mut host = Host::of(1);
+        for n in 0..12 {
+            let id = format!("{n}");
+            host.ask(&id, SHORT, 1);
+            host.now += ms(600);
+            host.end_with(&id, 0, 1, Outcome::Returned, |e| e.after = ms(late));
+        }
+        host.flood(30, SHORT, 1).len()
+    };
+    assert!(after(1700) < after(100), "{} {}", after(1700), after(100));
+}
+
+#[test]
+fn discovery_is_asked_again_after_a_failure() {
+    let terms = Deployment { discovery: Discovery::OnRequest, ..stated() };
+    let mut gateway = Gateway::new(terms, 1);
+    assert!(gateway.decide(ms(1000)).contains(&Action::Follow));
+    gateway.hear(ms(1100), Event::RosterUnavailable);
+    assert!(!gateway.decide(ms(1100)).contains(&Action::Follow));
+    assert!(gateway.decide(ms(4000)).contains(&Action::Follow));
+}
+
+#[test]
+fn the_same_events_bring_the_same_actions() {
+    let play = || {
+        let mut host = Host::of(3);
+        let mut all = Vec::new();
+        for n in 0..60 {
+            all.extend(host.ask(&format!("{n}"), (n % 3) as usize, n % 7));
+            all.extend(host.wait(ms(5)));
+        }
+        all
+    };
+    assert_eq!(play(), play());
+}
