--- a/src/logic.rs
+++ b/src/logic.rs
@@ -79,11 +79,7 @@
         Fading { sum: first, weight: 1.0, at: Duration::ZERO, memory }
     }
 
-    fn add(&mut self, now: Duration, value: f64) {
-        self.add_weighted(now, value, 1.0);
-    }
-
-    fn add_weighted(&mut self, now: Duration, value: f64, weight: f64) {
+    fn add(&mut self, now: Duration, value: f64, weight: f64) {
         let kept = (-now.saturating_sub(self.at).as_secs_f64() / self.memory).exp();
         self.sum = self.sum * kept + value;
         self.weight = self.weight * kept + weight;
@@ -190,7 +186,7 @@
     /// Until when a load of another front is taken to hold a table group.
     foreign: BTreeMap<u64, Duration>,
     /// Work sent lately while cold.
-    sent: VecDeque<(Duration, f64)>,
+    sent: Vec<(Duration, f64)>,
     report: Option<Report>,
     probed: Duration,
     strikes: u32,
@@ -211,9 +207,6 @@
 struct Header {
     batch: u64,
     engine: EngineId,
-    tables: u64,
-    load: bool,
-    waits: bool,
 }
 
 impl Engine {
@@ -348,13 +341,8 @@
                     self.close(seq);
                 }
             }
-            Event::Probed { engine, answered, load } => {
-                if answered {
-                    self.hear_load(now, engine, load);
-                } else {
-                    self.strike(now, engine);
-                }
-            }
+            Event::Probed { engine, answered: true, load } => self.hear_load(now, engine, load),
+            Event::Probed { engine, .. } => self.strike(now, engine),
             Event::Message { .. } | Event::Woke => {}
         }
     }
@@ -369,11 +357,10 @@
             match self.engines.get_mut(&entry.engine) {
                 Some(engine) => {
                     if entry.started > engine.entry.started {
-                        engine.sent.clear();
-                        engine.strikes = 0;
-                        engine.rests_until = Duration::ZERO;
+                        (engine.strikes, engine.rests_until) = (0, Duration::ZERO);
                         engine.report = None;
                         engine.foreign.clear();
+                        engine.sent.clear();
                     }
                     engine.entry = entry;
                 }
@@ -444,7 +431,7 @@
             let calm = now >= engine.shrunk + self.longest.mul_f64(REPORT_AGE);
             if let Some(busy) = load.cores_busy.filter(|busy| calm && *busy < SATURATED) {
                 let all = busy * cores(&self.stated, &engine.entry);
-                self.multiple.add_weighted(now, all, engine.threads * ON_CORES);
+                self.multiple.add(now, all, engine.threads * ON_CORES);
             }
             engine.report = Some(Report { at: now, load, threads: engine.threads, out: engine.out });
         }
@@ -519,8 +506,7 @@
             Outcome::NoConnection | Outcome::Reset | Outcome::Full => self.strike(now, ending.engine),
             Outcome::Returned => {
                 if let Some(engine) = self.engines.get_mut(&ending.engine) {
-                    engine.strikes = 0;
-                    engine.rests_until = Duration::ZERO;
+                    (engine.strikes, engine.rests_until) = (0, Duration::ZERO);
                 }
             }
             _ => {}
@@ -544,10 +530,10 @@
             }
             if outcome == Outcome::Returned {
                 if let Some(cost) = ending.cost {
-                    row.memory.add(now, cost.memory_mb);
+                    row.memory.add(now, cost.memory_mb, 1.0);
                 }
-                row.log_span.add(now, span.max(1e-3).ln());
-                row.work.add(now, work.unwrap_or(span * row.terms.threads));
+                row.log_span.add(now, span.max(1e-3).ln(), 1.0);
+                row.work.add(now, work.unwrap_or(span * row.terms.threads), 1.0);
             }
             if !outcome.never_ran() && batch.may_have_run.is_none() {
                 batch.may_have_run = Some((now.saturating_sub(ending.after), ending.engine));
@@ -758,11 +744,9 @@
     fn tie(&mut self, now: Duration, seq: u64) -> Option<Header> {
         let order = self.order(seq);
         let batch = &self.batches[&seq];
-        let terms = &self.rows[batch.row].terms;
         let usable: Vec<EngineId> = order.into_iter().filter(|e| self.usable(now, batch, *e)).collect();
         let engine = usable.iter().find(|e| !self.conflicts(now, batch, **e)).or(usable.first())?;
-        let (load, waits) = (terms.load, terms.waits_for_loads);
-        Some(Header { batch: seq, engine: *engine, tables: batch.tables, load, waits })
+        Some(Header { batch: seq, engine: *engine })
     }
 
     /// The engines in the order hashed from the batch's table group, the same at every front.
@@ -837,11 +821,10 @@
         let terms = &self.rows[batch.row].terms;
         let held = engine.loads.contains_key(&batch.tables)
             || engine.foreign.get(&batch.tables).is_some_and(|until| *until > now);
-        let with_header = self.header.is_some_and(|h| {
-            h.engine == id
-                && h.tables == batch.tables
-                && self.batches.get(&h.batch).is_some_and(|b| b.id != batch.id)
-                && ((terms.load && (h.load || h.waits)) || (terms.waits_for_loads && h.load))
+        let header = self.header.filter(|h| h.engine == id).and_then(|h| self.batches.get(&h.batch));
+        let with_header = header.filter(|h| h.tables == batch.tables && h.id != batch.id).is_some_and(|h| {
+            let other = &self.rows[h.row].terms;
+            (terms.load && (other.load || other.waits_for_loads)) || (terms.waits_for_loads && other.load)
         });
         with_header
             || (terms.load && (held || engine.readers.contains_key(&batch.tables)))
@@ -951,9 +934,8 @@
             }
             match batch.wanted {
                 Wanted::Out(engine) if batch.out.is_none() => {
-                    if batch.priority != row.priority {
-                        batch.priority = row.priority;
-                        let priority = row.priority;
+                    let priority = row.priority;
+                    if std::mem::replace(&mut batch.priority, priority) != priority {
                         actions.push(Action::Rank { batch: id.clone(), priority, memory_mb: 0.0 });
                     }
                     actions.push(Action::Dispatch { batch: id, engine, time_out: Duration::ZERO });
@@ -964,12 +946,9 @@
                     batch.sent += 1;
                     if let Some(engine) = self.engines.get_mut(&engine) {
                         engine.bear(batch.row, row, batch.tables, true);
-                        engine.sent.push_back((now, row.work.mean()));
-                        while engine.sent.front().is_some_and(|(at, _)| {
-                            *at + self.stated.duties.fall_after + self.stated.tick <= now
-                        }) {
-                            engine.sent.pop_front();
-                        }
+                        let window = self.stated.duties.fall_after + self.stated.tick;
+                        engine.sent.retain(|(at, _)| *at + window > now);
+                        engine.sent.push((now, row.work.mean()));
                     }
                     if self.header.is_some_and(|h| h.batch == seq) {
                         self.header = None;
