--- a/src/logic.rs
+++ b/src/logic.rs
@@ -43,9 +43,9 @@
 /// A further try that again needs at least this share of the last projection shows a truly large batch.
 const AS_LARGE: f64 = 0.5;
 /// A return after this share of its response goal shows pressure on its engine.
-const PRESSED: f64 = 0.6;
+const PRESSED: f64 = 0.4;
 /// What pressure leaves of an engine's pool, at most once in this share of the shortest response goal.
-const SHRINK: f64 = 0.75;
+const SHRINK: f64 = 0.6;
 const SHRINK_GAP: f64 = 0.5;
 /// Threads by which a pool grows for each pool's worth of good returns.
 const GROW: f64 = 0.5;
@@ -229,7 +229,7 @@
     /// slow cores or short memory alike. Harm: batches slow of their own shrink it for a while.
     fn feel(&mut self, now: Duration, pressed: bool, threads: f64, gap: Duration, most: f64) {
         if pressed && now >= self.shrunk + gap {
-            self.pool = (self.pool * SHRINK).max(1.0);
+            self.pool = (self.pool * SHRINK).max(0.5);
             self.shrunk = now;
         } else if !pressed && self.threads + threads > self.pool {
             self.pool = (self.pool + GROW * threads / self.pool).min(most);
