--- a/src/logic.rs
+++ b/src/logic.rs
@@ -55,6 +55,8 @@
 const MEMORY_FULL: f64 = 0.6;
 /// The part of granted memory that batches need.
 const GRANTED: f64 = 0.6;
+/// The part of the hashed order, from its far end, over which the fronts' loads begin.
+const FAR_PART: f64 = 0.5;
 /// Patience is alike within this share of the time limit; each that is not counts so much against it.
 const ALIKE: f64 = 0.005;
 const AGAINST: f64 = 0.25;
@@ -761,10 +763,14 @@
         });
         // Loads walk the order from its far end: so the loads of all fronts keep off the engines that the
         // group's readers call home, though no front sees another's.
-        match self.rows[batch.row].terms.load {
-            true => order.iter().rev().copied().collect(),
-            false => order.clone(),
-        }
+        let mut order = order.clone();
+        if self.rows[batch.row].terms.load {
+            // Each front begins at another engine of the far part, or loads of one group would all line up.
+            order.reverse();
+            let far = (order.len() as f64 * FAR_PART).ceil() as usize;
+            order[..far].rotate_left(self.stated.number as usize % far.max(1));
+        }
+        order
     }
 
     /// Whether the rules and the engine's health let the batch go there now.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -31,6 +31,16 @@
     assert!(engine_of(&host.end("load", 0, 1, Outcome::Returned), "read").is_some());
 }
 
+#[test]
+fn loads_of_one_group_from_two_fronts_keep_apart_and_off_the_readers_home() {
+    let at = |number, group| {
+        let mut host = Host::with(Deployment { number, ..stated() }, (1..=6).map(entry).collect());
+        engine_of(&host.ask("a", group, 9), "a").unwrap()
+    };
+    assert_ne!(at(0, LOAD), at(1, LOAD));
+    assert!(at(0, LOAD) != at(0, SHORT) && at(1, LOAD) != at(0, SHORT));
+}
+
 #[test]
 fn the_header_keeps_later_readers_from_its_engine() {
     let mut terms = stated();
