--- a/src/logic.rs
+++ b/src/logic.rs
@@ -51,10 +51,12 @@
 const GROW: f64 = 0.5;
 /// The share of its response goal that a batch is given to be dispatched in.
 const START_BY: f64 = 0.25;
-/// Share of an engine's memory that all fronts' batches may need for one more to be let in.
-const MEMORY_FULL: f64 = 0.6;
+/// Share of an engine's memory that all fronts' batches may need for one more to be let in: in calm, and
+/// while this front feels pressure there.
+const MEMORY_FULL: f64 = 0.55;
+const MEMORY_PRESSED: f64 = 0.4;
 /// The part of granted memory that batches need.
-const GRANTED: f64 = 0.6;
+const GRANTED: f64 = 0.5;
 /// The part of the hashed order, from its far end, over which the fronts' loads begin.
 const FAR_PART: f64 = 0.5;
 /// Patience is alike within this share of the time limit; each that is not counts so much against it.
@@ -238,6 +240,11 @@
         }
     }
 
+    /// Whether this front has felt no pressure there for a while.
+    fn calm(&self, now: Duration, longest: Duration) -> bool {
+        now >= self.shrunk + longest.mul_f64(REPORT_AGE)
+    }
+
     /// This front's threads there as a batch of a priority feels them: short cores are shared by priority,
     /// so that work of a lower one counts only by its share.
     fn felt(&self, priority: u8) -> f64 {
@@ -430,7 +437,7 @@
     fn hear_load(&mut self, now: Duration, engine: EngineId, load: Option<LoadReport>) {
         if let (Some(engine), Some(load)) = (self.engines.get_mut(&engine), load) {
             // How many times this front's threads the engines bear, learned while reports can tell it.
-            let calm = now >= engine.shrunk + self.longest.mul_f64(REPORT_AGE);
+            let calm = engine.calm(now, self.longest);
             if let Some(busy) = load.cores_busy.filter(|busy| calm && *busy < SATURATED) {
                 let all = busy * cores(&self.stated, &engine.entry);
                 self.multiple.add(now, all, engine.threads * ON_CORES);
@@ -910,7 +917,8 @@
         let priority = self.rows[batch.row].priority;
         for (id, _) in desirable {
             let engine = &self.engines[&id];
-            if self.memory_share(engine) > MEMORY_FULL {
+            let full = if engine.calm(now, self.longest) { MEMORY_FULL } else { MEMORY_PRESSED };
+            if self.memory_share(engine) > full {
                 continue;
             }
             let chance = (GATE_END - engine.felt(priority) / engine.pool) / (GATE_END - 1.0);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -232,6 +232,22 @@
     assert_eq!(host.flood(6, REPORT, 1).len(), 1);
 }
 
+#[test]
+fn less_memory_may_be_in_use_where_returns_come_late() {
+    let after = |late: u64| {
+        let mut host = Host::of(1);
+        let cost = Cost { work: ms(400), memory_mb: 3800.0 };
+        for n in 0..8 {
+            let id = format!("{n}");
+            host.ask(&id, REPORT, 1);
+            host.end_with(&id, 0, 1, Outcome::Returned, |e| (e.cost, e.after) = (Some(cost), ms(late)));
+        }
+        host.wait(ms(60));
+        host.flood(6, REPORT, 1).len()
+    };
+    assert_eq!((after(100), after(2500)), (2, 1));
+}
+
 #[test]
 fn memory_reported_as_granted_holds_batches_back() {
     let mut host = Host::with(Deployment { reports: Reports::WithAnswers, ..stated() }, vec![entry(1)]);
