--- a/src/logic.rs
+++ b/src/logic.rs
@@ -56,7 +56,7 @@
 const MEMORY_FULL: f64 = 0.55;
 const MEMORY_PRESSED: f64 = 0.4;
 /// The part of granted memory that batches need.
-const GRANTED: f64 = 0.5;
+const GRANTED: f64 = 0.36;
 /// The part of the hashed order, from its far end, over which the fronts' loads begin.
 const FAR_PART: f64 = 0.5;
 /// Patience is alike within this share of the time limit; each that is not counts so much against it.
