--- a/src/logic.rs
+++ b/src/logic.rs
@@ -463,7 +463,7 @@
             return;
         };
         let age = now.saturating_sub(out.at).as_secs_f64();
-        let row = &mut self.rows[batch.row];
+        let row = &self.rows[batch.row];
         match note {
             Note::WaitsForLoad => {
                 // Another front's load holds the group there: a conflict just like one of our own.
@@ -492,20 +492,13 @@
 
     /// Wants a batch tried elsewhere, if it may be sent again.
     fn move_on(&mut self, seq: u64) {
-        if !self.stated.permits.cancel || !self.may_go_again(seq) {
-            return;
+        let Some(batch) = self.batches.get_mut(&seq).filter(|b| !b.streaming && !b.over) else { return };
+        let permits = &self.stated.permits;
+        let once_only = self.rows[batch.row].terms.effect == Effect::OnceOnly;
+        if permits.cancel && !once_only && batch.sent < permits.most_dispatches.max(1) {
+            batch.wanted = Wanted::Held;
+            self.touched.insert(seq);
         }
-        if let Some(batch) = self.batches.get_mut(&seq) {
-            let once_only = self.rows[batch.row].terms.effect == Effect::OnceOnly;
-            if !once_only && !batch.streaming && !batch.over {
-                batch.wanted = Wanted::Held;
-                self.touched.insert(seq);
-            }
-        }
-    }
-
-    fn may_go_again(&self, seq: u64) -> bool {
-        self.batches.get(&seq).is_some_and(|b| b.sent < self.stated.permits.most_dispatches.max(1))
     }
 
     fn hear_ending(&mut self, now: Duration, ending: Ending) {
@@ -571,7 +564,6 @@
 
     /// A dispatch ended without an answer: held for another, or given up at once.
     fn settle_failure(&mut self, now: Duration, seq: u64) {
-        let again = self.may_go_again(seq);
         let Some(batch) = self.batches.get(&seq) else { return };
         if batch.out.is_some() || batch.wanted != Wanted::Held {
             return;
@@ -583,7 +575,7 @@
                 batch.may_have_run.is_some_and(|(at, _)| now >= at + remembered)
             }
         };
-        if barred || !again {
+        if barred || batch.sent >= self.stated.permits.most_dispatches.max(1) {
             self.give_up(seq);
         }
     }
