--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,7 +25,8 @@
 // Figures of the departures.
 /// How priorities share short cores and disks.
 const SHARES: [f64; 4] = [1.0, 4.0, 8.0, 16.0];
-/// Share of what rule 4 would allow that all fronts together may send to a cold engine.
+/// Share of what rule 4 would allow on the stated cores that all fronts together may send to a cold engine:
+/// it may be slower than others, and counts as full before all of its cores are busy.
 const COLD_SHARE: f64 = 0.6;
 /// Until answers tell: work is this share of response goal times threads.
 const WORK_GUESS: f64 = 0.5;
@@ -272,6 +273,10 @@
     /// A dispatch has ended since the last scan: what no gate has refused is looked at again.
     finished: bool,
     armed: Duration,
+    /// Wanted besides: the next wake-up, probes, and word from discovery.
+    due: Option<Duration>,
+    probes: Vec<EngineId>,
+    ask: bool,
     /// What all fronts together run, as a multiple of this front's.
     multiple: Fading,
     probe_credit: f64,
@@ -618,23 +623,17 @@
     /// Settles what is wanted and yields the actions towards it.
     pub fn decide(&mut self, now: Duration) -> Vec<Action> {
         let mut actions = Vec::new();
-        if self.ask_at.is_some_and(|at| at <= now) {
-            self.ask_at = None;
-            actions.push(Action::Follow);
-        }
+        self.ask = self.ask_at.take_if(|at| *at <= now).is_some();
         let mut due = self.ask_at.unwrap_or(Duration::MAX).min(self.review(now));
-        self.probe(now, &mut actions);
+        self.probe(now);
         if self.rescan || self.batches.values().any(|b| held(b) && b.next_draw <= now) {
             self.rescan = false;
             due = due.min(self.scan(now, &mut actions));
         } else {
             due = due.min(self.next_draw(now));
         }
+        self.due = Some(due).filter(|due| *due != Duration::MAX);
         self.reconcile(now, &mut actions);
-        if due != Duration::MAX && (self.armed <= now || due < self.armed) {
-            self.armed = due.max(now + self.stated.tick);
-            actions.push(Action::Wake { at: self.armed });
-        }
         actions
     }
 
@@ -668,7 +667,7 @@
         due
     }
 
-    fn probe(&mut self, now: Duration, actions: &mut Vec<Action>) {
+    fn probe(&mut self, now: Duration) {
         if !self.stated.permits.probes || self.stated.reports != Reports::WhenProbed {
             return;
         }
@@ -680,7 +679,7 @@
             let Some(engine) = stalest else { return };
             engine.probed = now;
             self.probe_credit -= 1.0;
-            actions.push(Action::Probe { engine: engine.entry.engine });
+            self.probes.push(engine.entry.engine);
         }
     }
 
@@ -923,6 +922,14 @@
 
     /// Turns the difference between what is wanted and what is into actions. Nothing else does.
     fn reconcile(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if std::mem::take(&mut self.ask) {
+            actions.push(Action::Follow);
+        }
+        actions.extend(self.probes.drain(..).map(|engine| Action::Probe { engine }));
+        if let Some(due) = self.due.take().filter(|due| self.armed <= now || *due < self.armed) {
+            self.armed = due.max(now + self.stated.tick);
+            actions.push(Action::Wake { at: self.armed });
+        }
         for seq in std::mem::take(&mut self.touched) {
             let Some(batch) = self.batches.get_mut(&seq).filter(|b| !b.over) else { continue };
             let id = batch.id.clone();
