--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,7 +36,7 @@
 const REST: f64 = 2.0;
 const MOST_STRIKES: u32 = 5;
 /// Probes for each batch taken.
-const PROBES_PER_BATCH: f64 = 0.4;
+const PROBES_PER_BATCH: f64 = 0.2;
 /// A load report older than this share of the longest time limit is no longer used.
 const REPORT_AGE: f64 = 0.15;
 /// A dispatch that needs more than this many usual spans from here is tried elsewhere.
