Many fronts: ask before sending, lots against slow-down, several homes, first tries in a hurry

Cause: with 94 to 280 fronts a front's own threads times their number say nothing; reports of busy cores saturate near 0.65 at 16 threads and fall again as an engine pages, so full engines looked idle and drew 40 to 60 % of all dispatches.

--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -128,10 +128,13 @@
                 self.tell(now, front_id, |_| Some(Event::Left(call.into())));
             }
             Msg::RING { front_id } => self.tell(now, front_id, |_| Some(Event::Woke)),
-            Msg::HEALTH { front_id, code, engine, gauge } => self.tell(now, front_id, |reading| {
-                let answered = code == wire::Code::Done;
-                Some(Event::Probed { engine, answered, load: reading.gauge(gauge) })
-            }),
+            Msg::HEALTH { front_id, cost_time_us, code, engine, gauge } => {
+                self.tell(now, front_id, |reading| {
+                    let answered = code == wire::Code::Done;
+                    let after = translate::span(cost_time_us);
+                    Some(Event::Probed { engine, answered, after, load: reading.gauge(gauge) })
+                })
+            }
             Msg::PEER_DATA { front_id, sender, data } => {
                 self.tell(now, front_id, |_| Some(Event::Message { from: sender, data }));
             }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -62,6 +62,8 @@
     },
     HEALTH {
         front_id: u32,
+        #[serde(default)]
+        cost_time_us: u64,
         code: Code,
         engine: u32,
         gauge: Option<Vec<f64>>,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -260,6 +260,8 @@
     Probed {
         engine: EngineId,
         answered: bool,
+        /// How long ago the probe was sent.
+        after: Duration,
         load: Option<LoadReport>,
     },
     Message {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,66 +9,51 @@
 use std::time::Duration;
 
 // The mechanism's figures.
-/// Threads per core under which an engine takes whatever it is offered.
-const GATE_MARK: f64 = 1.0;
-/// At this multiple of the mark the chance of being let in has fallen to nothing.
-const GATE_END: f64 = 3.0;
-/// Threads per core by which an engine may exceed the least loaded and still be taken in hashed order.
-const MARGIN: f64 = 0.8;
-/// The oldest batch held longer than this share of the longest time limit becomes the header.
-const HEADER_AFTER: f64 = 0.1;
-/// Past this share of its time limit a batch goes to the least loaded desirable engine, gate or no gate.
-const FORCED_AFTER: f64 = 1.0 / 3.0;
-/// A refused draw is repeated after this share of the response goal.
-const REDRAW_AFTER: f64 = 0.05;
+const GATE_MARK: f64 = 1.0; // Threads per core under which an engine takes whatever it is offered.
+const GATE_END: f64 = 3.0; // At this multiple of the mark the chance of being let in has fallen to nothing.
+const MARGIN: f64 = 0.8; // Threads per core by which home may exceed the least loaded engine.
+const HEADER_AFTER: f64 = 0.1; // Held for this share of the longest time limit, the oldest is the header.
+const FORCED_AFTER: f64 = 1.0 / 3.0; // Past this share of its time limit a batch passes the gate.
+const REDRAW_AFTER: f64 = 0.05; // A refused draw is repeated after this share of the response goal.
 
 // Figures of the departures.
-/// How priorities share short cores and disks.
-const SHARES: [f64; 4] = [1.0, 4.0, 8.0, 16.0];
+const SHARES: [f64; 4] = [1.0, 4.0, 8.0, 16.0]; // How priorities share short cores and disks.
 /// Share of what rule 4 would allow on the stated cores that all fronts together may send to a cold engine:
 /// it may be slower than others, and counts as full before all of its cores are busy.
 const COLD_SHARE: f64 = 0.6;
-/// Until answers tell: work is this share of response goal times threads.
-const WORK_GUESS: f64 = 0.5;
-/// The memory of all decaying sums, in longest time limits.
-const MEMORY: f64 = 1.0;
-/// An engine that failed a connection rests this many connect time-outs, doubled with each further strike.
-const REST: f64 = 2.0;
+const WORK_GUESS: f64 = 0.5; // Until answers tell: work is this share of response goal times threads.
+const MEMORY: f64 = 1.0; // The memory of all decaying sums, in longest time limits.
+const REST: f64 = 2.0; // Connect time-outs that an engine rests after a failure, doubled with each further.
 const MOST_STRIKES: u32 = 5;
-/// Probes for each batch taken.
-const PROBES_PER_BATCH: f64 = 0.2;
-/// A load report older than this share of the longest time limit is no longer used.
-const REPORT_AGE: f64 = 0.15;
-/// A dispatch that needs more than this many usual spans from here is tried elsewhere.
-const FAR_BEHIND: f64 = 6.0;
-/// A further try that again needs at least this share of the last projection shows a truly large batch.
-const AS_LARGE: f64 = 0.5;
-/// A return after this share of its response goal shows pressure on its engine.
-const PRESSED: f64 = 0.4;
-/// What pressure leaves of an engine's pool, at most once in this share of the shortest response goal.
-const SHRINK: f64 = 0.6;
-const SHRINK_GAP: f64 = 0.5;
-/// Threads by which a pool grows for each pool's worth of good returns.
-const GROW: f64 = 0.5;
-/// The share of its response goal that a batch is given to be dispatched in.
-const START_BY: f64 = 0.25;
-/// Share of an engine's memory that all fronts' batches may need for one more to be let in: in calm, and
-/// while this front feels pressure there.
-const MEMORY_FULL: f64 = 0.55;
-const MEMORY_PRESSED: f64 = 0.4;
-/// The part of granted memory that batches need.
-const GRANTED: f64 = 0.36;
-/// The part of the hashed order, from its far end, over which the fronts' loads begin.
-const FAR_PART: f64 = 0.5;
-/// Patience is alike within this share of the time limit; each that is not counts so much against it.
-const ALIKE: f64 = 0.005;
-const AGAINST: f64 = 0.25;
-/// The part of its time that a running thread spends on cores.
-const ON_CORES: f64 = 0.3;
-/// Above this share of busy cores a report no longer tells how many threads run.
-const SATURATED: f64 = 0.9;
-/// Advice on when to come back, as a share of the response goal.
-const COME_BACK: f64 = 0.5;
+const PROBES_PER_BATCH: f64 = 0.2; // Probes for each batch taken, on the round,
+const ASKS_PER_BATCH: f64 = 1.2; // and to ask before sending.
+const BLIND: f64 = 8.0; // With more fronts than this, a front's own counters say little of an engine.
+const BLIND_MARGIN: f64 = 2.0; // Margin, mark and end of the gate of a blind front, and what its own threads
+const BLIND_MARK: f64 = 2.0; // count for; in threads per core as reported.
+const BLIND_END: f64 = 2.8;
+const ADDS: f64 = 2.5;
+const OVERDUE: f64 = 4.0; // Out for so many times its usual work, a batch counts as slowed down so much.
+const STRAIN_MARK: f64 = 1.4; // Slow-down of a blind front's batches up to which all are let in,
+const STRAIN_END: f64 = 2.6; // and from which none is.
+const SURE_AFTER: f64 = 10.0; // Arrivals before which a table group's part of the traffic is not believed.
+const ASK_AFTER: f64 = 0.4; // A blind front asks once a report is older than this share of the shortest goal.
+const REPORT_AGE: f64 = 0.15; // Older than this share of the longest time limit, a report is not used.
+const FAR_BEHIND: f64 = 6.0; // A dispatch that needs so many usual spans from here is tried elsewhere.
+const PRESSED: f64 = 0.4; // A return after this share of its response goal shows pressure on its engine.
+const SHRINK: f64 = 0.6; // What pressure leaves of an engine's pool,
+const SHRINK_GAP: f64 = 0.5; // at most once in this share of the shortest response goal.
+const GROW: f64 = 0.5; // Threads by which a pool grows for each pool's worth of good returns.
+const START_BY: f64 = 0.25; // The share of its response goal that a batch is given to be dispatched in.
+const MEMORY_FULL: f64 = 0.55; // Share of an engine's memory that all may need for one more to be let in,
+const MEMORY_PRESSED: f64 = 0.4; // and while this front feels pressure there.
+const GRANTED: f64 = 0.36; // The part of granted memory that batches need.
+const FAR_PART: f64 = 0.5; // The part of the order, from its far end, over which the fronts' loads begin.
+const ALIKE: f64 = 0.005; // Patience is alike within this share of the time limit,
+const AGAINST: f64 = 0.25; // and each that is not counts so much against it.
+const HURRY: f64 = 0.25; // Patience under this share of the time limit is that of a first try in a hurry.
+const ON_CORES: f64 = 0.3; // The part of its time that a running thread spends on cores.
+const SATURATED: f64 = 0.9; // Above this share of busy cores a report no longer tells how many threads run.
+const COME_BACK: f64 = 0.5; // Advice on when to come back, as a share of the response goal.
 
 /// A weighted mean whose past fades; brought up to date when it is read or added to.
 #[derive(Clone, Copy, Default)]
@@ -111,22 +96,13 @@
 struct Row {
     terms: ServiceTerms,
     priority: u8,
-    /// Work of a batch, in seconds on one thread.
-    work: Fading,
-    /// Time from dispatch to return: the logarithm of seconds, which tells the usual.
-    log_span: Fading,
-    /// Memory that a batch needs, in MB, as answers tell.
-    memory: Fading,
-    /// The time that clients give a first try, and the votes for it.
-    patience: (Duration, f64),
+    work: Fading,              // Work of a batch, in seconds on one thread.
+    log_span: Fading, // Time from dispatch to return: the logarithm of seconds, which tells the usual.
+    memory: Fading,   // Memory that a batch needs, in MB, as answers tell.
+    patience: (Duration, f64), // The time that clients give a first try, and the votes for it.
 }
 
 impl Row {
-    /// The usual time from dispatch to return, in seconds.
-    fn usual(&self) -> f64 {
-        self.log_span.mean().exp()
-    }
-
     /// How far the response goal lies after arrival, for so much work; all in seconds.
     fn goal(&self, work: f64) -> f64 {
         self.terms.response_goal.as_secs_f64() + self.terms.stretch * work / self.terms.threads.max(1.0)
@@ -155,49 +131,39 @@
     row: usize,
     tables: u64,
     key: Option<u64>,
-    /// When the client first asked, as far as its patience tells, and when this try came.
-    asked: Duration,
+    asked: Duration, // When the client first asked, as far as its patience tells, and when this try came.
     taken: Duration,
     limit: Duration,
     sent: u32,
-    /// When and where a dispatch first went that may have run.
-    may_have_run: Option<(Duration, EngineId)>,
+    may_have_run: Option<(Duration, EngineId)>, // When and where a dispatch first went that may have run.
     out: Option<Out>,
     wanted: Wanted,
     priority: u8,
-    /// The engine that its last dispatch failed on.
-    avoid: Option<EngineId>,
-    /// How long its last dispatch would have taken in all, in seconds.
-    projected: Option<f64>,
+    avoid: Option<EngineId>, // The engine that its last dispatch failed on.
     next_draw: Duration,
-    /// A gate refused its last draw; it draws again in its own time.
-    refused: bool,
-    streaming: bool,
-    /// It has its final answer; only a dispatch's outcome is awaited.
-    over: bool,
+    refused: bool, // A gate refused its last draw; it draws again in its own time.
+    lot: f64,      // Drawn once: the strain at which it is let in.
+    overdue: bool, // Its dispatch has been counted as overdue.
+    over: bool,    // It has its final answer; only a dispatch's outcome is awaited.
 }
 
 #[derive(Default)]
 struct Engine {
     entry: EngineEntry,
     threads: f64,
-    /// The same, by priority.
-    ranked: [f64; 4],
-    /// Batches of this front there, by service group.
-    rows: Vec<u32>,
+    ranked: [f64; 4], // The same, by priority.
+    rows: Vec<u32>,   // Batches of this front there, by service group.
     out: u32,
     loads: BTreeMap<u64, u32>,
     readers: BTreeMap<u64, u32>,
-    /// Until when a load of another front is taken to hold a table group.
-    foreign: BTreeMap<u64, Duration>,
-    /// Work sent lately while cold.
-    sent: Vec<(Duration, f64)>,
+    foreign: BTreeMap<u64, Duration>, // Until when a load of another front is taken to hold a table group.
+    sent: Vec<(Duration, f64)>,       // Work sent lately while cold.
     report: Option<Report>,
     probed: Duration,
+    quickest: Option<Duration>, // The shortest time that a probe has taken there.
     strikes: u32,
     rests_until: Duration,
-    /// Threads that this front may run there: the mark, moved by pressure.
-    pool: f64,
+    pool: f64, // Threads that this front may run there: the mark, moved by pressure.
     shrunk: Duration,
 }
 
@@ -206,12 +172,7 @@
     load: LoadReport,
     threads: f64,
     out: u32,
-}
-
-#[derive(Clone, Copy)]
-struct Header {
-    batch: u64,
-    engine: EngineId,
+    drag: f64, // How many times its quickest the probe took.
 }
 
 impl Engine {
@@ -265,26 +226,25 @@
     batches: BTreeMap<u64, Batch>,
     ids: BTreeMap<BatchId, u64>,
     next: u64,
-    /// Batches of one key in the order taken, and when the next may go.
-    lanes: BTreeMap<u64, (VecDeque<u64>, Duration)>,
-    header: Option<Header>,
+    lanes: BTreeMap<u64, (VecDeque<u64>, Duration)>, // By key: batches as taken, and when the next may go.
+    header: Option<(u64, EngineId)>,                 // The batch, and the engine that it is tied to.
     touched: BTreeSet<u64>,
-    rescan: bool,
-    /// A dispatch has ended since the last scan: what no gate has refused is looked at again.
-    finished: bool,
+    finished: bool, // A dispatch has ended since the last scan: what no gate has refused is looked at again.
     armed: Duration,
-    /// Wanted besides: the next wake-up, probes, and word from discovery.
-    due: Option<Duration>,
+    due: Option<Duration>, // Wanted besides: the next wake-up, probes, and word from discovery.
     probes: Vec<EngineId>,
     ask: bool,
-    /// What all fronts together run, as a multiple of this front's.
-    multiple: Fading,
+    multiple: Fading,   // What all fronts together run, as a multiple of this front's.
+    usual_load: Fading, // Threads per core that engines usually report.
+    strain: Fading,     // How slowed down this front's batches are, all engines together.
+    asked_of: BTreeMap<u64, Fading>, // Arrivals by table group, and all.
+    asked: Fading,
     probe_credit: f64,
-    /// Arrivals and further dispatches within the budget's span.
-    arrivals: VecDeque<Duration>,
-    further: VecDeque<Duration>,
+    arrivals: Vec<Duration>, // Arrivals and further dispatches within the budget's span.
+    further: Vec<Duration>,
     ask_at: Option<Duration>,
-    longest: Duration,
+    longest: Duration,  // Of the time limits.
+    shortest: Duration, // Of the response goals.
 }
 
 fn mix(mut x: u64) -> u64 {
@@ -297,17 +257,14 @@
     pub fn new(stated: Deployment, seed: u64) -> Self {
         let longest = stated.service_groups.iter().map(|t| t.time_limit).max().unwrap_or_default();
         let memory = (longest.as_secs_f64() * MEMORY).max(1.0);
-        let mut goals: Vec<Duration> = stated.service_groups.iter().map(|t| t.response_goal).collect();
-        goals.sort();
-        goals.dedup();
+        let goals: BTreeSet<Duration> = stated.service_groups.iter().map(|t| t.response_goal).collect();
         let rows = (stated.service_groups.iter())
             .map(|terms| {
                 let goal = terms.response_goal.as_secs_f64();
                 // Short beside long: the shorter the response goal, the larger the share of short cores.
-                let rank = goals.iter().position(|g| *g == terms.response_goal).unwrap_or(0);
                 // A load goes with the shortest: until it ends, all that reads its group there stands still.
-                let rank = if terms.load { 0 } else { rank as u8 };
-                let priority = if stated.priorities { 3u8.saturating_sub(rank) } else { 1 };
+                let rank = goals.iter().filter(|g| **g < terms.response_goal && !terms.load).count();
+                let priority = if stated.priorities { 3u8.saturating_sub(rank as u8) } else { 1 };
                 Row {
                     terms: terms.clone(),
                     priority,
@@ -324,6 +281,10 @@
             chance: Chance(mix(seed) | 1),
             armed: Duration::MAX,
             multiple: Fading::new(memory, f64::from(stated.fronts.max(1))),
+            usual_load: Fading::new(memory, 0.0),
+            strain: Fading::new(memory * REPORT_AGE, 1.0),
+            asked: Fading::new(memory, 0.0),
+            shortest: goals.first().copied().unwrap_or_default(),
             ask_at,
             longest,
             stated,
@@ -343,11 +304,11 @@
             Event::Arrived(arrival) => self.hear_arrival(now, arrival),
             Event::Began(id) => {
                 if let Some(batch) = self.ids.get(&id).and_then(|seq| self.batches.get_mut(seq)) {
-                    batch.streaming = true;
+                    batch.limit = Duration::MAX; // From here on it is the client's.
                 }
             }
             Event::Noted { batch, dispatch, engine, note } => {
-                self.hear_note(now, &batch, dispatch, engine, note)
+                self.hear_note(now, &batch, dispatch, engine, note);
             }
             Event::Ended(ending) => self.hear_ending(now, ending),
             Event::Left(id) => {
@@ -355,7 +316,17 @@
                     self.close(seq);
                 }
             }
-            Event::Probed { engine, answered: true, load } => self.hear_load(now, engine, load),
+            Event::Probed { engine, answered: true, after, load } => {
+                self.hear_load(now, engine, load);
+                if let Some(engine) = self.engines.get_mut(&engine) {
+                    let quickest = engine.quickest.map_or(after, |q| q.min(after));
+                    engine.quickest = Some(quickest);
+                    if let Some(report) = &mut engine.report {
+                        report.drag = after.as_secs_f64() / quickest.as_secs_f64().max(1e-6);
+                    }
+                }
+                self.finished = true;
+            }
             Event::Probed { engine, .. } => self.strike(now, engine),
             Event::Message { .. } | Event::Woke => {}
         }
@@ -368,37 +339,28 @@
             }
         }
         for entry in entries {
-            match self.engines.get_mut(&entry.engine) {
-                Some(engine) => {
-                    if entry.started > engine.entry.started {
-                        (engine.strikes, engine.rests_until) = (0, Duration::ZERO);
-                        engine.report = None;
-                        engine.foreign.clear();
-                        engine.sent.clear();
-                    }
-                    engine.entry = entry;
-                }
-                None => {
-                    let pool = cores(&self.stated, &entry) * GATE_MARK / f64::from(self.stated.fronts.max(1));
-                    let rows = vec![0; self.rows.len()];
-                    let engine = Engine { pool, rows, entry, ..Engine::default() };
-                    self.engines.insert(engine.entry.engine, engine);
-                }
+            let pool = cores(&self.stated, &entry) * GATE_MARK / f64::from(self.stated.fronts.max(1));
+            let rows = vec![0; self.rows.len()];
+            let fresh = Engine { pool, rows, ..Engine::default() };
+            let engine = self.engines.entry(entry.engine).or_insert(fresh);
+            if entry.started > engine.entry.started {
+                (engine.strikes, engine.rests_until, engine.report) = (0, Duration::ZERO, None);
+                engine.foreign.clear();
+                engine.sent.clear();
             }
+            engine.entry = entry;
         }
         self.engines.retain(|_, e| e.entry.state == EngineState::Active || e.out > 0);
         self.orders.clear();
-        self.rescan = true;
     }
 
     fn hear_arrival(&mut self, now: Duration, arrival: Arrival) {
         if self.rows.is_empty() {
             return;
         }
-        if self.stated.duties.budget.is_some() {
-            self.arrivals.push_back(now);
-        }
-        self.probe_credit = (self.probe_credit + PROBES_PER_BATCH).min(self.engines.len() as f64);
+        self.arrivals.extend(self.stated.duties.budget.map(|_| now));
+        let credit = if self.blind() { ASKS_PER_BATCH } else { PROBES_PER_BATCH };
+        self.probe_credit = (self.probe_credit + credit).min(self.engines.len() as f64);
         let row = arrival.service_group.min(self.rows.len().saturating_sub(1));
         let seq = self.next;
         self.next += 1;
@@ -407,6 +369,10 @@
             self.lanes.entry(key).or_default().0.push_back(seq);
         }
         self.ids.insert(arrival.batch.clone(), seq);
+        self.asked.add(now, 1.0, 1.0);
+        let none = Fading::new(self.asked.memory, 0.0);
+        self.asked_of.entry(arrival.table_group).or_insert(none).add(now, 1.0, 1.0);
+        self.asked_of.retain(|_, asked| asked.at + self.longest > now);
         // Guards against serving repeats that come too late to count: a client that gives a try less time
         // than others has asked before, and its response goal has run since then.
         // Where clients don't mark them, a vote tells the patience that first tries come with.
@@ -422,7 +388,12 @@
         } else {
             usual.0.abs_diff(arrival.patience) >= limit.mul_f64(ALIKE)
         };
-        let age = if repeat { limit.saturating_sub(arrival.patience) } else { Duration::ZERO };
+        // Very little patience is no repeat's, but that of a first try in a hurry.
+        let age = if repeat && arrival.patience > limit.mul_f64(HURRY) {
+            limit.saturating_sub(arrival.patience)
+        } else {
+            Duration::ZERO
+        };
         let batch = Batch {
             asked: now.saturating_sub(age),
             id: arrival.batch,
@@ -433,21 +404,24 @@
             limit: now + arrival.patience,
             priority: 1,
             next_draw: now,
+            lot: self.chance.draw(),
             ..Batch::default()
         };
         self.batches.insert(seq, batch);
-        self.rescan = true;
     }
 
     fn hear_load(&mut self, now: Duration, engine: EngineId, load: Option<LoadReport>) {
         if let (Some(engine), Some(load)) = (self.engines.get_mut(&engine), load) {
-            // How many times this front's threads the engines bear, learned while reports can tell it.
-            let calm = engine.calm(now, self.longest);
-            if let Some(busy) = load.cores_busy.filter(|busy| calm && *busy < SATURATED) {
-                let all = busy * cores(&self.stated, &engine.entry);
-                self.multiple.add(now, all, engine.threads * ON_CORES);
+            if let Some(busy) = load.cores_busy {
+                self.usual_load.add(now, busy / ON_CORES, 1.0);
+                // How many times this front's threads the engines bear, learned while reports can tell it.
+                if engine.calm(now, self.longest) && busy < SATURATED {
+                    let all = busy * cores(&self.stated, &engine.entry);
+                    self.multiple.add(now, all, engine.threads * ON_CORES);
+                }
             }
-            engine.report = Some(Report { at: now, load, threads: engine.threads, out: engine.out });
+            let (threads, out) = (engine.threads, engine.out);
+            engine.report = Some(Report { at: now, load, threads, out, drag: 1.0 });
         }
     }
 
@@ -464,9 +438,8 @@
     fn hear_note(&mut self, now: Duration, id: &BatchId, dispatch: u32, engine: EngineId, note: Note) {
         let Some(&seq) = self.ids.get(id) else { return };
         let Some(batch) = self.batches.get_mut(&seq) else { return };
-        let Some(out) = batch.out.as_ref().filter(|out| out.number == dispatch && !out.cancelled) else {
-            return;
-        };
+        let current = |out: &&Out| out.number == dispatch && !out.cancelled;
+        let Some(out) = batch.out.as_ref().filter(current) else { return };
         let age = now.saturating_sub(out.at).as_secs_f64();
         let row = &self.rows[batch.row];
         match note {
@@ -482,12 +455,10 @@
             }
             Note::Progress(share) => {
                 // Guards against bad plans, slow engines and work that stands still: a dispatch far behind
-                // what is usual goes elsewhere. Where the next try is as far behind, the batch is large
-                // and stays. Harm: work done so far is lost.
+                // what is usual goes elsewhere, once: where the next try is as far behind, the batch is
+                // large. Harm: work done so far is lost.
                 let total = age / share.clamp(1e-3, 1.0);
-                let large = batch.projected.is_some_and(|last| total > last * AS_LARGE);
-                if total - age > FAR_BEHIND * row.usual() && !large {
-                    batch.projected = Some(total);
+                if total - age > FAR_BEHIND * row.log_span.mean().exp() && batch.sent == 1 {
                     self.move_on(seq);
                 }
             }
@@ -497,7 +468,9 @@
 
     /// Wants a batch tried elsewhere, if it may be sent again.
     fn move_on(&mut self, seq: u64) {
-        let Some(batch) = self.batches.get_mut(&seq).filter(|b| !b.streaming && !b.over) else { return };
+        let Some(batch) = self.batches.get_mut(&seq).filter(|b| b.limit != Duration::MAX && !b.over) else {
+            return;
+        };
         let permits = &self.stated.permits;
         let once_only = self.rows[batch.row].terms.effect == Effect::OnceOnly;
         if permits.cancel && !once_only && batch.sent < permits.most_dispatches.max(1) {
@@ -509,16 +482,13 @@
     fn hear_ending(&mut self, now: Duration, ending: Ending) {
         self.hear_load(now, ending.engine, ending.load);
         let outcome = ending.outcome;
-        match outcome {
-            Outcome::NoConnection | Outcome::Reset | Outcome::Full => self.strike(now, ending.engine),
-            Outcome::Returned => {
-                if let Some(engine) = self.engines.get_mut(&ending.engine) {
-                    (engine.strikes, engine.rests_until) = (0, Duration::ZERO);
-                }
-            }
-            _ => {}
+        if matches!(outcome, Outcome::NoConnection | Outcome::Reset | Outcome::Full) {
+            self.strike(now, ending.engine);
+        } else if let Some(engine) = self.engines.get_mut(&ending.engine)
+            && outcome == Outcome::Returned
+        {
+            (engine.strikes, engine.rests_until) = (0, Duration::ZERO);
         }
-        let shortest = self.rows.iter().map(|r| r.terms.response_goal).min().unwrap_or_default();
         let Some(&seq) = self.ids.get(&ending.batch) else { return };
         let Some(batch) = self.batches.get_mut(&seq) else { return };
         if batch.out.as_ref().is_some_and(|out| out.number == ending.dispatch) {
@@ -532,13 +502,17 @@
                 if outcome == Outcome::Returned {
                     let pressed = span > row.goal(work.unwrap_or(row.work.mean())) * PRESSED;
                     let most = cores(&self.stated, &engine.entry) * GATE_MARK * GATE_END;
-                    engine.feel(now, pressed, row.terms.threads, shortest.mul_f64(SHRINK_GAP), most);
+                    engine.feel(now, pressed, row.terms.threads, self.shortest.mul_f64(SHRINK_GAP), most);
                 }
             }
             if outcome == Outcome::Returned {
                 if let Some(cost) = ending.cost {
                     row.memory.add(now, cost.memory_mb, 1.0);
                 }
+                if !batch.overdue {
+                    let alone = work.map_or(span, |work| work / row.terms.threads.max(1.0)).max(1e-3);
+                    self.strain.add(now, (span / alone).min(OVERDUE), 1.0);
+                }
                 row.log_span.add(now, span.max(1e-3).ln(), 1.0);
                 row.work.add(now, work.unwrap_or(span * row.terms.threads), 1.0);
             }
@@ -550,14 +524,12 @@
             {
                 lane.1 = lane.1.max(now + self.stated.duties.settle_after_doubt);
             }
-            batch.avoid = Some(ending.engine);
-            batch.next_draw = now;
-            batch.refused = false;
+            (batch.avoid, batch.next_draw) = (Some(ending.engine), now);
+            (batch.overdue, batch.refused) = (false, false);
             if batch.wanted == Wanted::Out(ending.engine) {
                 batch.wanted = Wanted::Held;
             }
         }
-        self.rescan = true;
         if ending.over || outcome == Outcome::Returned {
             self.close(seq);
         } else if self.batches.get(&seq).is_some_and(|b| b.over) {
@@ -606,15 +578,12 @@
                 self.forget(seq);
             }
         }
-        if self.header.is_some_and(|h| h.batch == seq) {
-            self.header = None;
-        }
+        self.header.take_if(|(batch, _)| *batch == seq);
     }
 
     fn forget(&mut self, seq: u64) {
         let Some(batch) = self.batches.remove(&seq) else { return };
         self.ids.remove(&batch.id);
-        self.rescan = true;
         if let Some(lane) = batch.key.and_then(|key| self.lanes.get_mut(&key)) {
             lane.0.retain(|other| *other != seq);
         }
@@ -626,12 +595,7 @@
         self.ask = self.ask_at.take_if(|at| *at <= now).is_some();
         let mut due = self.ask_at.unwrap_or(Duration::MAX).min(self.review(now));
         self.probe(now);
-        if self.rescan || self.batches.values().any(|b| held(b) && b.next_draw <= now) {
-            self.rescan = false;
-            due = due.min(self.scan(now, &mut actions));
-        } else {
-            due = due.min(self.next_draw(now));
-        }
+        due = due.min(self.scan(now, &mut actions));
         self.due = Some(due).filter(|due| *due != Duration::MAX);
         self.reconcile(now, &mut actions);
         actions
@@ -641,9 +605,9 @@
     fn review(&mut self, now: Duration) -> Duration {
         let margin = self.stated.tick * 2;
         let mut due = Duration::MAX;
-        let mut lost = Vec::new();
+        let (mut lost, mut late) = (Vec::new(), Vec::new());
         for (&seq, batch) in &self.batches {
-            if batch.over || batch.streaming {
+            if batch.over {
                 continue;
             }
             let row = &self.rows[batch.row];
@@ -655,12 +619,20 @@
                 let share = if batch.key.is_some() { 1.0 } else { START_BY };
                 last = last.min(batch.asked + Duration::from_secs_f64(row.goal(row.work.mean()) * share));
             }
+            let alone = Duration::from_secs_f64(row.work.mean() / row.terms.threads.max(1.0));
+            if batch.out.as_ref().is_some_and(|out| !batch.overdue && now > out.at + alone.mul_f64(OVERDUE)) {
+                late.push(seq);
+            }
             if last <= now {
                 lost.push(seq);
             } else {
                 due = due.min(last);
             }
         }
+        for seq in late {
+            self.strain.add(now, OVERDUE, 1.0);
+            self.batches.entry(seq).and_modify(|b| b.overdue = true);
+        }
         for seq in lost {
             self.give_up(seq);
         }
@@ -668,7 +640,7 @@
     }
 
     fn probe(&mut self, now: Duration) {
-        if !self.stated.permits.probes || self.stated.reports != Reports::WhenProbed {
+        if !self.stated.permits.probes || self.stated.reports != Reports::WhenProbed || self.blind() {
             return;
         }
         while self.probe_credit >= 1.0 {
@@ -683,10 +655,28 @@
         }
     }
 
-    fn next_draw(&self, now: Duration) -> Duration {
-        let tick = self.stated.tick;
-        let held = self.batches.values().filter(|b| held(b));
-        held.map(|b| b.next_draw.max(now + tick)).min().unwrap_or(Duration::MAX)
+    /// Whether this front runs so little of all that its own counters say nothing of an engine.
+    fn blind(&self) -> bool {
+        f64::from(self.stated.fronts) > BLIND
+    }
+
+    /// Wants to hear from an engine before a batch goes there; false if what is known must do.
+    fn ask_first(&mut self, now: Duration, id: EngineId) -> bool {
+        let probed = self.stated.permits.probes && self.stated.reports == Reports::WhenProbed;
+        let Some(engine) = self.engines.get_mut(&id).filter(|_| probed) else { return false };
+        if engine.report.as_ref().is_some_and(|r| r.at + self.shortest.mul_f64(ASK_AFTER) > now) {
+            return false;
+        }
+        if engine.probed + self.stated.permits.connect_timeout > now {
+            return engine.report.as_ref().is_none_or(|r| r.at < engine.probed);
+        }
+        if self.probe_credit < 1.0 {
+            return false;
+        }
+        self.probe_credit -= 1.0;
+        engine.probed = now;
+        self.probes.push(id);
+        true
     }
 
     /// One pass over the held batches, oldest first.
@@ -701,52 +691,43 @@
             }
         }
         for seq in waiting {
-            let in_turn = (self.batches[&seq].key)
-                .and_then(|key| self.lanes.get(&key))
+            let batch = &self.batches[&seq];
+            let in_turn = (batch.key.and_then(|key| self.lanes.get(&key)))
                 .is_none_or(|(lane, free)| lane.front() == Some(&seq) && *free <= now);
-            let drawn = self.batches[&seq].next_draw <= now || (finished && !self.batches[&seq].refused);
-            let further = self.batches[&seq].sent > 0;
-            if !in_turn || !drawn || (further && !self.budget_left(now)) {
+            let drawn = batch.next_draw <= now || (finished && !batch.refused);
+            let redraw = now + self.rows[batch.row].terms.response_goal.mul_f64(REDRAW_AFTER);
+            if !in_turn || !drawn || (batch.sent > 0 && !self.budget_left(now)) {
                 continue;
             }
-            match self.choose(now, seq) {
-                Some(engine) => {
-                    if let Some(batch) = self.batches.get_mut(&seq) {
-                        batch.wanted = Wanted::Out(engine);
-                    }
-                    self.touched.insert(seq);
-                    self.reconcile(now, actions);
-                }
-                None => {
-                    let goal = self.rows[self.batches[&seq].row].terms.response_goal;
-                    if let Some(batch) = self.batches.get_mut(&seq) {
-                        batch.next_draw = now + goal.mul_f64(REDRAW_AFTER);
-                    }
-                }
+            let chosen = self.choose(now, seq);
+            self.batches.entry(seq).and_modify(|batch| match chosen {
+                Some(engine) => batch.wanted = Wanted::Out(engine),
+                None => batch.next_draw = redraw,
+            });
+            if chosen.is_some() {
+                self.touched.insert(seq);
+                self.reconcile(now, actions);
             }
         }
-        self.next_draw(now)
+        let held = self.batches.values().filter(|b| held(b));
+        held.map(|b| b.next_draw.max(now + self.stated.tick)).min().unwrap_or(Duration::MAX)
     }
 
     /// Rule 7, kept for a tick more than the span asks.
     fn budget_left(&mut self, now: Duration) -> bool {
         let Some(budget) = self.stated.duties.budget else { return true };
-        while self.arrivals.front().is_some_and(|at| *at + budget.span <= now + self.stated.tick) {
-            self.arrivals.pop_front();
-        }
-        while self.further.front().is_some_and(|at| *at + budget.span + self.stated.tick < now) {
-            self.further.pop_front();
-        }
+        self.arrivals.retain(|at| *at + budget.span > now + self.stated.tick);
+        self.further.retain(|at| *at + budget.span + self.stated.tick >= now);
         (self.further.len() + 1) as f64 <= budget.free + budget.share * self.arrivals.len() as f64
     }
 
     /// Ties the header to its first desirable engine, or to the first that it may use at all.
-    fn tie(&mut self, now: Duration, seq: u64) -> Option<Header> {
+    fn tie(&mut self, now: Duration, seq: u64) -> Option<(u64, EngineId)> {
         let order = self.order(seq);
         let batch = &self.batches[&seq];
         let usable: Vec<EngineId> = order.into_iter().filter(|e| self.usable(now, batch, *e)).collect();
         let engine = usable.iter().find(|e| !self.conflicts(now, batch, **e)).or(usable.first())?;
-        Some(Header { batch: seq, engine: *engine })
+        Some((seq, *engine))
     }
 
     /// The engines in the order hashed from the batch's table group, the same at every front.
@@ -767,6 +748,13 @@
             order.reverse();
             let far = (order.len() as f64 * FAR_PART).ceil() as usize;
             order[..far].rotate_left(self.stated.number as usize % far.max(1));
+        } else if self.blind() {
+            // A group that draws more than one engine's part of the traffic has several homes, shared out
+            // among the fronts.
+            let part =
+                self.asked_of.get(&tables).map_or(0.0, |asked| asked.sum) / (self.asked.sum + SURE_AFTER);
+            let homes = (part * order.len() as f64).ceil().min(order.len() as f64) as usize;
+            order[..homes].rotate_left(self.stated.number as usize % homes.max(1));
         }
         order
     }
@@ -792,11 +780,8 @@
             _ => true,
         };
         let rested = engine.rests_until <= now && (engine.strikes == 0 || engine.out == 0);
-        entry.state == EngineState::Active
-            && placed
-            && reached
-            && rested
-            && self.cold_room(now, batch, engine)
+        let active = entry.state == EngineState::Active;
+        active && placed && reached && rested && self.cold_room(now, batch, engine)
     }
 
     /// Guards against pushing over an engine that has just started (rule 4), from whatever cause it did:
@@ -825,7 +810,7 @@
         let terms = &self.rows[batch.row].terms;
         let held = engine.loads.contains_key(&batch.tables)
             || engine.foreign.get(&batch.tables).is_some_and(|until| *until > now);
-        let header = self.header.filter(|h| h.engine == id).and_then(|h| self.batches.get(&h.batch));
+        let header = self.header.filter(|h| h.1 == id).and_then(|h| self.batches.get(&h.0));
         let with_header = header.filter(|h| h.tables == batch.tables && h.id != batch.id).is_some_and(|h| {
             let other = &self.rows[h.row].terms;
             (terms.load && (other.load || other.waits_for_loads)) || (terms.waits_for_loads && other.load)
@@ -840,15 +825,20 @@
     fn threads_per_core(&self, now: Duration, engine: &Engine) -> f64 {
         let cores = cores(&self.stated, &engine.entry);
         let fresh = self.longest.mul_f64(REPORT_AGE);
+        let blind = self.blind();
         let threads = match engine.report.as_ref().filter(|r| r.at + fresh > now) {
             Some(Report { load: LoadReport { held: Some(held), .. }, out, .. }) => {
                 let own = if engine.out > 0 { engine.threads / f64::from(engine.out) } else { 1.0 };
                 engine.threads + (held - f64::from(*out)).max(0.0) * own.max(1.0)
             }
+            Some(Report { load: LoadReport { cores_busy: Some(busy), .. }, threads, drag, .. }) if blind => {
+                (busy / ON_CORES).max(GATE_END * (drag - 1.0)) * cores + (engine.threads - threads).max(0.0)
+            }
             Some(Report { load: LoadReport { cores_busy: Some(busy), .. }, threads, .. }) => {
                 let told = (busy * cores + engine.threads - threads).max(engine.threads);
                 if *busy < SATURATED { told } else { told.max(engine.threads * self.multiple.mean()) }
             }
+            _ if blind => self.usual_load.mean() * cores + engine.threads,
             _ => engine.threads * f64::from(self.stated.fronts.max(1)),
         };
         threads / cores
@@ -869,7 +859,7 @@
     fn choose(&mut self, now: Duration, seq: u64) -> Option<EngineId> {
         let order = self.order(seq);
         let batch = &self.batches[&seq];
-        let tied = self.header.filter(|h| h.batch == seq).map(|h| h.engine);
+        let tied = self.header.filter(|h| h.0 == seq).map(|h| h.1);
         if tied.is_some_and(|e| !self.usable(now, batch, e)) {
             self.header = None;
             return None;
@@ -898,21 +888,36 @@
             desirable.retain(|(id, _)| Some(*id) != batch.avoid);
         }
         let least = desirable.iter().copied().min_by(|a, b| a.1.total_cmp(&b.1))?;
-        let forced = now >= batch.taken + self.rows[batch.row].terms.time_limit.mul_f64(FORCED_AFTER);
-        if forced {
+        let blind = self.blind();
+        self.strain.add(now, 0.0, 0.0);
+        let strain = (self.strain.sum + 1.0) / (self.strain.weight + 1.0);
+        if blind && batch.lot > (STRAIN_END - strain) / (STRAIN_END - STRAIN_MARK) {
+            return None;
+        }
+        if now >= batch.taken + self.rows[batch.row].terms.time_limit.mul_f64(FORCED_AFTER) {
             return Some(least.0);
         }
-        desirable.retain(|(_, load)| *load <= least.1 + MARGIN);
+        let margin = if blind { BLIND_MARGIN } else { MARGIN };
+        desirable.retain(|(_, load)| *load <= least.1 + margin);
         self.batches.entry(seq).and_modify(|b| b.refused = true);
         let batch = &self.batches[&seq];
         let priority = self.rows[batch.row].priority;
-        for (id, _) in desirable {
+        let adds = ADDS * self.rows[batch.row].terms.threads;
+        for (id, load) in desirable {
+            if blind && self.ask_first(now, id) {
+                self.batches.entry(seq).and_modify(|b| b.refused = false);
+                return None;
+            }
             let engine = &self.engines[&id];
             let full = if engine.calm(now, self.longest) { MEMORY_FULL } else { MEMORY_PRESSED };
-            if self.memory_share(engine) > full {
+            if !blind && self.memory_share(engine) > full {
                 continue;
             }
-            let chance = (GATE_END - engine.felt(priority) / engine.pool) / (GATE_END - 1.0);
+            let mut chance = (GATE_END - engine.felt(priority) / engine.pool) / (GATE_END - 1.0);
+            if blind {
+                let after = load + adds / cores(&self.stated, &engine.entry);
+                chance = (BLIND_END - after) / (BLIND_END - BLIND_MARK);
+            }
             if chance >= 1.0 || self.chance.draw() < chance {
                 return Some(id);
             }
@@ -934,12 +939,9 @@
             let Some(batch) = self.batches.get_mut(&seq).filter(|b| !b.over) else { continue };
             let id = batch.id.clone();
             let row = &self.rows[batch.row];
-            let keep = match (batch.wanted, &batch.out) {
-                (Wanted::Out(engine), Some(out)) => out.engine == engine,
-                (_, None) => true,
-                _ => false,
-            };
-            if let Some(out) = batch.out.as_mut().filter(|out| !keep && !out.cancelled) {
+            let wanted = batch.wanted;
+            let unwanted = |out: &&mut Out| !out.cancelled && wanted != Wanted::Out(out.engine);
+            if let Some(out) = batch.out.as_mut().filter(unwanted) {
                 out.cancelled = true;
                 if self.stated.permits.cancel {
                     actions.push(Action::Cancel { batch: id.clone(), dispatch: out.number });
@@ -953,9 +955,7 @@
                     }
                     actions.push(Action::Dispatch { batch: id, engine, time_out: Duration::ZERO });
                     batch.out = Some(Out { number: batch.sent, engine, at: now, cancelled: false });
-                    if batch.sent > 0 {
-                        self.further.push_back(now);
-                    }
+                    self.further.extend(self.stated.duties.budget.filter(|_| batch.sent > 0).map(|_| now));
                     batch.sent += 1;
                     if let Some(engine) = self.engines.get_mut(&engine) {
                         engine.bear(batch.row, row, batch.tables, true);
@@ -963,9 +963,7 @@
                         engine.sent.retain(|(at, _)| *at + window > now);
                         engine.sent.push((now, row.work.mean()));
                     }
-                    if self.header.is_some_and(|h| h.batch == seq) {
-                        self.header = None;
-                    }
+                    self.header.take_if(|(batch, _)| *batch == seq);
                 }
                 Wanted::PushedBack => {
                     let permits = &self.stated.permits;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -255,7 +255,7 @@
     host.ask("a", SHORT, 1);
     host.end_with("a", 0, 1, Outcome::Returned, |e| e.load = Some(report(1.6)));
     assert_eq!(engine_of(&host.ask("b", SHORT, 1), "b"), None);
-    host.tell(Event::Probed { engine: 1, answered: true, load: Some(report(0.5)) });
+    host.tell(Event::Probed { engine: 1, answered: true, after: ms(2), load: Some(report(0.5)) });
     assert_eq!(engine_of(&host.wait(ms(60)), "b"), Some(1));
 }
 
@@ -297,3 +297,75 @@
     };
     assert_eq!(play(), play());
 }
+
+/// A deployment of so many fronts that each sees a sliver of the traffic.
+fn crowd() -> Deployment {
+    let permits = Permits { probes: true, ..stated().permits };
+    Deployment { fronts: 50, permits, reports: Reports::WhenProbed, ..stated() }
+}
+
+fn probed(actions: &[Action]) -> Option<EngineId> {
+    actions.iter().find_map(|a| if let Action::Probe { engine } = a { Some(*engine) } else { None })
+}
+
+fn answer(host: &mut Host, engine: EngineId, busy: f64, after: u64) -> Vec<Action> {
+    let load = Some(LoadReport { cores_busy: Some(busy), ..LoadReport::default() });
+    host.tell(Event::Probed { engine, answered: true, after: ms(after), load })
+}
+
+#[test]
+fn one_of_many_fronts_asks_an_engine_before_it_sends_and_passes_over_a_busy_one() {
+    let mut host = Host::with(crowd(), vec![entry(1), entry(2), entry(3)]);
+    let actions = host.ask("a", SHORT, 9);
+    let home = probed(&actions).expect("asked first");
+    assert_eq!(sent(&actions).count() + sent(&host.ask("b", SHORT, 9)).count(), 0);
+    let next = probed(&answer(&mut host, home, 0.95, 2)).expect("the next is asked");
+    assert_ne!(home, next);
+    let after = answer(&mut host, next, 0.1, 2);
+    assert_eq!(engine_of(&after, "a"), Some(next));
+    assert_eq!(engine_of(&after, "b"), Some(next));
+}
+
+#[test]
+fn a_probe_that_drags_shows_a_full_engine_though_its_cores_idle() {
+    let mut host = Host::with(crowd(), vec![entry(1)]);
+    host.flood(3, SHORT, 9);
+    answer(&mut host, 1, 0.1, 2);
+    host.wait(ms(700));
+    host.flood(3, SHORT, 9);
+    let actions = answer(&mut host, 1, 0.1, 8);
+    assert_eq!(sent(&actions).count(), 0, "four times the quickest");
+}
+
+#[test]
+fn one_of_many_fronts_holds_back_while_its_batches_stand_still() {
+    let mut host = Host::with(crowd(), vec![entry(1)]);
+    host.flood(30, SHORT, 9);
+    assert!(sent(&answer(&mut host, 1, 0.1, 2)).count() > 9);
+    host.wait(ms(2500));
+    host.flood(30, SHORT, 9);
+    assert_eq!(sent(&answer(&mut host, 1, 0.1, 2)).count(), 0);
+}
+
+#[test]
+fn a_hot_group_has_several_homes_shared_out_among_many_fronts() {
+    let home = |number| {
+        let stated = Deployment { number, ..crowd() };
+        let mut host = Host::with(stated, (1..=20).map(entry).collect());
+        host.flood(60, SHORT, 9);
+        host.wait(ms(900));
+        probed(&host.ask("x", SHORT, 9))
+    };
+    let homes: std::collections::BTreeSet<_> = (0..10).map(home).collect();
+    assert!(homes.len() > 3 && homes.iter().all(Option::is_some));
+}
+
+#[test]
+fn a_first_try_in_a_hurry_is_not_taken_for_a_late_repeat() {
+    let mut host = Host::of(2);
+    for n in 0..9 {
+        host.ask_with(&format!("{n}"), SHORT, n, |a| a.patience = ms(4300));
+    }
+    let hurried = host.ask_with("hurried", SHORT, 30, |a| a.patience = ms(400));
+    assert!(engine_of(&hurried, "hurried").is_some());
+}
