Lots count the share of batches slowed down, and far-behind work moves up to twice

A mean of slow-downs refused where engines were merely slower for all (neighbours, restarts). The share slowed down 3.5-fold tells standing still.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -32,9 +32,9 @@
 const BLIND_MARK: f64 = 2.0; // count for; in threads per core as reported.
 const BLIND_END: f64 = 2.8;
 const ADDS: f64 = 2.5;
-const OVERDUE: f64 = 4.0; // Out for so many times its usual work, a batch counts as slowed down so much.
-const STRAIN_MARK: f64 = 1.4; // Slow-down of a blind front's batches up to which all are let in,
-const STRAIN_END: f64 = 2.6; // and from which none is.
+const OVERDUE: f64 = 3.5; // Out for so many times its work, a batch counts as slowed down.
+const STRAIN_MARK: f64 = 0.1; // Share of a blind front's batches slowed down up to which all are let in,
+const STRAIN_END: f64 = 0.5; // and from which none is.
 const SURE_AFTER: f64 = 10.0; // Arrivals before which a table group's part of the traffic is not believed.
 const ASK_AFTER: f64 = 0.4; // A blind front asks once a report is older than this share of the shortest goal.
 const REPORT_AGE: f64 = 0.15; // Older than this share of the longest time limit, a report is not used.
@@ -458,7 +458,7 @@
                 // what is usual goes elsewhere, once: where the next try is as far behind, the batch is
                 // large. Harm: work done so far is lost.
                 let total = age / share.clamp(1e-3, 1.0);
-                if total - age > FAR_BEHIND * row.log_span.mean().exp() && batch.sent == 1 {
+                if total - age > FAR_BEHIND * row.log_span.mean().exp() && batch.sent <= 2 {
                     self.move_on(seq);
                 }
             }
@@ -511,7 +511,7 @@
                 }
                 if !batch.overdue {
                     let alone = work.map_or(span, |work| work / row.terms.threads.max(1.0)).max(1e-3);
-                    self.strain.add(now, (span / alone).min(OVERDUE), 1.0);
+                    self.strain.add(now, f64::from(u8::from(span > alone * OVERDUE)), 1.0);
                 }
                 row.log_span.add(now, span.max(1e-3).ln(), 1.0);
                 row.work.add(now, work.unwrap_or(span * row.terms.threads), 1.0);
@@ -630,7 +630,7 @@
             }
         }
         for seq in late {
-            self.strain.add(now, OVERDUE, 1.0);
+            self.strain.add(now, 1.0, 1.0);
             self.batches.entry(seq).and_modify(|b| b.overdue = true);
         }
         for seq in lost {
@@ -890,7 +890,7 @@
         let least = desirable.iter().copied().min_by(|a, b| a.1.total_cmp(&b.1))?;
         let blind = self.blind();
         self.strain.add(now, 0.0, 0.0);
-        let strain = (self.strain.sum + 1.0) / (self.strain.weight + 1.0);
+        let strain = self.strain.sum / (self.strain.weight + 1.0);
         if blind && batch.lot > (STRAIN_END - strain) / (STRAIN_END - STRAIN_MARK) {
             return None;
         }
