--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,6 +27,7 @@
 const MEMORY: f64 = 1.0; // The memory of all decaying sums, in longest time limits.
 const REST: f64 = 2.0; // Connect time-outs that an engine rests after a failure, doubled with each further.
 const MOST_STRIKES: u32 = 5;
+const BLIND_STRIKES: u32 = 3; // What a failure counts for at a blind front, which comes by but seldom.
 const PROBES_PER_BATCH: f64 = 0.2; // Probes for each batch taken, on the round,
 const ASKS_PER_BATCH: f64 = 1.2; // and to ask before sending.
 const BLIND: f64 = 8.0; // With more fronts than this, a front's own counters say little of an engine.
@@ -34,6 +35,7 @@
 const BLIND_MARK: f64 = 2.0; // count for; in threads per core as reported.
 const BLIND_END: f64 = 2.8;
 const ADDS: f64 = 2.5;
+const SUSPECT: f64 = 0.6; // Share of the usual load under which an engine may stand still, with idle cores.
 const OVERDUE: f64 = 3.5; // Out for so many times its work, a batch counts as slowed down.
 const STRAIN_MARK: f64 = 0.1; // Share of a blind front's batches slowed down up to which all are let in,
 const STRAIN_END: f64 = 0.5; // and from which none is.
@@ -210,8 +212,7 @@
         now >= self.shrunk + longest.mul_f64(REPORT_AGE)
     }
 
-    /// This front's threads there as a batch of a priority feels them: short cores are shared by priority,
-    /// so that work of a lower one counts only by its share.
+    /// This front's threads there as a batch of a priority feels them: lower ones by their share of cores.
     fn felt(&self, priority: u8) -> f64 {
         let own = SHARES[usize::from(priority)];
         self.ranked.iter().zip(SHARES).map(|(threads, share)| threads * (share / own).min(1.0)).sum()
@@ -264,8 +265,8 @@
         let rows = (stated.service_groups.iter())
             .map(|terms| {
                 let goal = terms.response_goal.as_secs_f64();
-                // Short beside long: the shorter the response goal, the larger the share of short cores.
-                // A load goes with the shortest: until it ends, all that reads its group there stands still.
+                // The shorter the response goal, the larger the share of short cores. A load goes with the
+                // shortest: until it ends, all that reads its group there stands still.
                 let rank = goals.iter().filter(|g| **g < terms.response_goal && !terms.load).count();
                 let priority = if stated.priorities { 3u8.saturating_sub(rank as u8) } else { 1 };
                 Row {
@@ -310,9 +311,7 @@
                     batch.limit = Duration::MAX; // From here on it is the client's.
                 }
             }
-            Event::Noted { batch, dispatch, engine, note } => {
-                self.hear_note(now, &batch, dispatch, engine, note);
-            }
+            Event::Noted { batch, dispatch, note, .. } => self.hear_note(now, &batch, dispatch, note),
             Event::Ended(ending) => self.hear_ending(now, ending),
             Event::Left(id) => {
                 if let Some(&seq) = self.ids.get(&id) {
@@ -371,8 +370,7 @@
         self.asked_of.retain(|_, asked| asked.at + self.longest > now);
         // Guards against serving repeats that come too late to count: a client that gives a try less time
         // than others asked before. Unmarked, they differ from what a vote finds first tries come with.
-        let table = &mut self.rows[row];
-        let (limit, usual) = (table.terms.time_limit, &mut table.patience);
+        let (limit, usual) = (self.rows[row].terms.time_limit, &mut self.rows[row].patience);
         let alike = usual.0.abs_diff(arrival.patience) < limit.mul_f64(ALIKE);
         usual.1 += if alike { 1.0 } else { -AGAINST };
         if usual.1 <= 0.0 {
@@ -423,22 +421,23 @@
         }
     }
 
-    /// Guards against an engine that is dead, cut off or out of connections, whatever the cause: it rests,
-    /// longer with each strike, and one answer heals it. Harm: a passing fault costs one short rest.
+    /// Guards against an engine that is dead, cut off, draining or out of connections, whatever the cause: it
+    /// rests, longer with each strike, and one answer heals it. Harm: a passing fault costs one rest.
     fn strike(&mut self, now: Duration, engine: EngineId) {
+        let blind = self.blind();
         if let Some(engine) = self.engines.get_mut(&engine).filter(|e| e.rests_until <= now) {
-            engine.strikes = (engine.strikes + 1).min(MOST_STRIKES);
+            engine.strikes = (engine.strikes + if blind { BLIND_STRIKES } else { 1 }).min(MOST_STRIKES);
             let rest = REST * f64::from(1 << (engine.strikes - 1));
             engine.rests_until = now + self.stated.permits.connect_timeout.mul_f64(rest);
         }
     }
 
-    fn hear_note(&mut self, now: Duration, id: &BatchId, dispatch: u32, engine: EngineId, note: Note) {
+    fn hear_note(&mut self, now: Duration, id: &BatchId, dispatch: u32, note: Note) {
         let Some(&seq) = self.ids.get(id) else { return };
         let Some(batch) = self.batches.get_mut(&seq) else { return };
         let current = |out: &&Out| out.number == dispatch && !out.cancelled;
         let Some(out) = batch.out.as_ref().filter(current) else { return };
-        let age = now.saturating_sub(out.at).as_secs_f64();
+        let (age, engine) = (now.saturating_sub(out.at).as_secs_f64(), out.engine);
         let row = &self.rows[batch.row];
         match note {
             Note::WaitsForLoad => {
@@ -503,9 +502,11 @@
                 }
             }
             if outcome == Outcome::Returned {
-                if let Some(cost) = ending.cost {
-                    row.memory.add(now, cost.memory_mb, 1.0);
-                }
+                row.memory.add(
+                    now,
+                    ending.cost.map_or(0.0, |c| c.memory_mb),
+                    ending.cost.map_or(0.0, |_| 1.0),
+                );
                 if !batch.overdue {
                     let alone = work.map_or(span, |work| work / row.terms.threads.max(1.0)).max(1e-3);
                     self.strain.add(now, f64::from(u8::from(span > alone * OVERDUE)), 1.0);
@@ -539,17 +540,13 @@
     /// A dispatch ended without an answer: held for another, or given up at once.
     fn settle_failure(&mut self, now: Duration, seq: u64) {
         let Some(batch) = self.batches.get(&seq) else { return };
-        if batch.out.is_some() || batch.wanted != Wanted::Held {
-            return;
-        }
-        let barred = match self.rows[batch.row].terms.effect {
+        let barred = batch.may_have_run.is_some_and(|(at, _)| match self.rows[batch.row].terms.effect {
             Effect::Repeatable => false,
-            Effect::OnceOnly => batch.may_have_run.is_some(),
-            Effect::Referenced { remembered, .. } => {
-                batch.may_have_run.is_some_and(|(at, _)| now >= at + remembered)
-            }
-        };
-        if barred || batch.sent >= self.stated.permits.most_dispatches.max(1) {
+            Effect::OnceOnly => true,
+            Effect::Referenced { remembered, .. } => now >= at + remembered,
+        });
+        let spent = barred || batch.sent >= self.stated.permits.most_dispatches.max(1);
+        if spent && batch.out.is_none() && batch.wanted == Wanted::Held {
             self.give_up(seq);
         }
     }
@@ -741,8 +738,7 @@
             let far = (order.len() as f64 * FAR_PART).ceil() as usize;
             order[..far].rotate_left(self.stated.number as usize % far.max(1));
         } else if self.blind() {
-            // A group that draws more than one engine's part of the traffic has several homes, shared out
-            // among the fronts.
+            // A group that draws more than one engine's part has several homes, shared out among the fronts.
             let part =
                 self.asked_of.get(&tables).map_or(0.0, |asked| asked.sum) / (self.asked.sum + SURE_AFTER);
             let homes = (part * order.len() as f64).ceil().min(order.len() as f64) as usize;
@@ -790,8 +786,7 @@
         let recent = engine.sent.iter().filter(|(at, _)| *at + duties.fall_after + self.stated.tick > now);
         let sent: f64 = recent.map(|(_, work)| work).sum();
         let work = self.rows[batch.row].work.mean();
-        // Where that share is less than a batch, small ones go by turns: each front has one in a hashed part
-        // of its windows, which begin at another time at each front.
+        // Where that is less than a batch, small ones go by turns, in a hashed part of each front's windows.
         let window = now.as_secs_f64() / duties.fall_after.as_secs_f64() + f64::from(number) / fronts;
         let turn = mix(u64::from(engine.entry.engine) ^ mix(u64::from(number) ^ mix(window as u64)));
         let in_turn = (turn as f64 / u64::MAX as f64) < TURNS * room / work && work <= bears * COLD_SMALL;
@@ -904,7 +899,7 @@
         desirable.retain(|(_, load)| *load <= least.1 + margin);
         self.batches.entry(seq).and_modify(|b| b.refused = true);
         let row = &self.rows[self.batches[&seq].row];
-        let (priority, adds) = (row.priority, ADDS * row.terms.threads);
+        let (priority, adds, is_load) = (row.priority, ADDS * row.terms.threads, row.terms.load);
         for (id, load) in desirable {
             if blind && self.ask_first(now, id) {
                 self.batches.entry(seq).and_modify(|b| b.refused = false);
@@ -919,6 +914,11 @@
             if blind {
                 let after = load + adds / cores(&self.stated, &engine.entry);
                 chance = (BLIND_END - after) / (BLIND_END - BLIND_MARK);
+                // Guards against lines of loads where work stands still. Harm: truly idle engines get few.
+                if is_load {
+                    let idle = load / (SUSPECT * self.usual_load.mean()).max(f64::MIN_POSITIVE);
+                    chance = chance.min(1.0) * idle.powi(4).min(1.0);
+                }
             }
             if chance >= 1.0 || self.chance.draw() < chance {
                 return Some(id);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -395,3 +395,35 @@
     assert!(sends.len() > 20, "{}", sends.len());
     assert!(worst.unwrap() as f64 * 0.5 <= bears, "{worst:?} against {bears}");
 }
+
+#[test]
+fn loads_keep_off_an_engine_that_idles_oddly_among_many_fronts() {
+    let mut host = Host::with(crowd(), vec![entry(1), entry(2)]);
+    let mut to_idle = 0;
+    for step in 0..40u64 {
+        let id = format!("load-{step}");
+        let mut actions = host.ask(&id, LOAD, step);
+        for _ in 0..4 {
+            let Some(engine) = probed(&actions) else { break };
+            actions = answer(&mut host, engine, if engine == 1 { 0.02 } else { 0.3 }, 2);
+        }
+        if let Some(engine) = engine_of(&actions, &id) {
+            to_idle += u32::from(engine == 1);
+            host.end(&id, 0, engine, Outcome::Returned);
+        }
+        host.wait(ms(500));
+    }
+    assert!(to_idle < 8, "{to_idle}");
+}
+
+#[test]
+fn one_of_many_fronts_rests_an_engine_that_turned_it_away_for_seconds() {
+    let mut host = Host::with(crowd(), vec![entry(1)]);
+    host.ask("a", SHORT, 9);
+    assert_eq!(engine_of(&answer(&mut host, 1, 0.1, 2), "a"), Some(1));
+    host.end("a", 0, 1, Outcome::Full);
+    host.wait(ms(1500));
+    assert_eq!(probed(&host.ask("b", SHORT, 9)), None);
+    host.wait(ms(600));
+    assert_eq!(probed(&host.ask("c", SHORT, 9)), Some(1));
+}
