--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,6 +39,7 @@
 const OVERDUE: f64 = 3.5; // Out for so many times its work, a batch counts as slowed down.
 const STRAIN_MARK: f64 = 0.1; // Share of a blind front's batches slowed down up to which all are let in,
 const STRAIN_END: f64 = 0.5; // and from which none is.
+const HELD: f64 = 0.4; // Threads per core that a blind front adds where reports count batches, not threads.
 const SURE_AFTER: f64 = 10.0; // Arrivals before which a table group's part of the traffic is not believed.
 const ASK_AFTER: f64 = 0.4; // A blind front asks once a report is older than this share of the shortest goal.
 const REPORT_AGE: f64 = 0.15; // Older than this share of the longest time limit, a report is not used.
@@ -86,9 +87,8 @@
     }
 }
 
-/// Multiply-with-carry.
 #[derive(Default)]
-struct Chance(u64);
+struct Chance(u64); // Multiply-with-carry.
 
 impl Chance {
     fn draw(&mut self) -> f64 {
@@ -607,8 +607,7 @@
             let row = &self.rows[batch.row];
             let mut last = batch.limit.saturating_sub(margin);
             if batch.out.is_none() {
-                // Guards against queues of batches already too late: decided early, said at once. Harm: one
-                // much smaller than usual might be in time. One that waits by key has all of the goal.
+                // Guards against queues of what is too late; what waits its turn by key has all of the goal.
                 let share = if batch.key.is_some() { 1.0 } else { START_BY };
                 last = last.min(batch.asked + Duration::from_secs_f64(row.goal(row.work.mean()) * share));
             }
@@ -823,7 +822,8 @@
         let threads = match engine.report.as_ref().filter(|r| r.at + fresh > now) {
             Some(Report { load: LoadReport { held: Some(held), .. }, out, .. }) => {
                 let own = if engine.out > 0 { engine.threads / f64::from(engine.out) } else { 1.0 };
-                engine.threads + (held - f64::from(*out)).max(0.0) * own.max(1.0)
+                let others = (held - f64::from(*out)).max(0.0) * own.max(1.0);
+                engine.threads + others + f64::from(u8::from(blind)) * HELD * cores
             }
             Some(Report { load: LoadReport { cores_busy: Some(busy), .. }, threads, drag, .. }) if blind => {
                 (busy / ON_CORES).max(GATE_END * (drag - 1.0)) * cores + (engine.threads - threads).max(0.0)
