--- /dev/null
+++ b/crates/front/src/program/channel.rs
@@ -0,0 +1,111 @@
+//! Follows the command channel: the list of the start, then its changes, over a connection that is made
+//! anew whenever it fails.
+
+use super::start::Shared;
+use crate::protocol::channel::{self, LONGEST_FRAME, Member, News, State};
+use crate::routing::{Heard, Listed};
+use crate::transport::{self, within};
+use async_io::Timer;
+use futures_lite::{AsyncWriteExt, StreamExt};
+use lemonusher::{EngineState, RosterKind};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+const SILENCE: Duration = Duration::from_millis(3000); // An empty frame comes each second.
+const FIRST_WAIT: Duration = Duration::from_millis(50);
+const LONGEST_WAIT: Duration = Duration::from_millis(400);
+
+struct Follower {
+    shared: Rc<Shared>,
+    last: u64,
+    left_out: BTreeSet<u32>,
+}
+
+pub async fn run(shared: Rc<Shared>, address: SocketAddr, known: (u64, Vec<News>)) {
+    let mut follower = Follower { shared, last: known.0, left_out: BTreeSet::new() };
+    for news in known.1 {
+        follower.tell(news, RosterKind::Restored).await;
+    }
+    let mut wait = FIRST_WAIT;
+    loop {
+        let last = follower.last;
+        let error = follower.follow(address, &mut wait).await;
+        log::warn!("command channel: {error}; asking again from event {last} on");
+        Timer::after(wait.mul_f64(0.5 + fastrand::f64())).await;
+        wait = (wait * 2).min(LONGEST_WAIT);
+    }
+}
+
+impl Follower {
+    /// Follows one connection until it fails, and says why.
+    async fn follow(&mut self, address: SocketAddr, wait: &mut Duration) -> String {
+        let limit = self.shared.connect_timeout * 2;
+        let wire = match transport::connect(address, limit).await {
+            Ok(wire) => wire,
+            Err(error) => return error.to_string(),
+        };
+        let hello = channel::hello(self.last);
+        match within(limit, (&*wire).write_all(&hello)).await {
+            Some(Ok(())) => {}
+            Some(Err(error)) => return error.to_string(),
+            None => return "takes nothing".to_owned(),
+        }
+        let mut frames = pin!(transport::messages(wire, LONGEST_FRAME, Some(SILENCE), channel::cut));
+        while let Some(frame) = frames.next().await {
+            let frame = match frame {
+                Ok(frame) => frame,
+                Err(error) => return error.to_string(),
+            };
+            *wait = FIRST_WAIT;
+            let whole = matches!(frame.news, News::All(_));
+            if frame.news == News::Nothing || frame.number <= self.last {
+                continue;
+            }
+            if frame.number > self.last + 1 && !whole {
+                return format!("event {} came after {}", frame.number, self.last);
+            }
+            self.last = frame.number;
+            self.tell(frame.news, RosterKind::Full).await;
+        }
+        "closed".to_owned()
+    }
+
+    async fn tell(&mut self, news: News, whole: RosterKind) {
+        let (kind, members) = match news {
+            News::Nothing => return,
+            News::All(members) => (whole, members),
+            News::Changes(members) => (RosterKind::Changes, members),
+        };
+        let listed = members.into_iter().filter_map(|member| self.listed(member)).collect();
+        let _ = self.shared.queue.send(Heard::Roster(kind, listed)).await;
+    }
+
+    /// An engine whose place or kind the deployment does not state is left out.
+    fn listed(&mut self, member: Member) -> Option<Listed> {
+        let settled = &self.shared.settled;
+        let place = |number: Option<u32>, names: &[String]| number.filter(|n| (*n as usize) < names.len());
+        let places = place(member.zone, &settled.areas).zip(place(member.kind, &settled.kinds));
+        let Some((location, kind)) = places else {
+            if self.left_out.len() < 1024 && self.left_out.insert(member.id) {
+                log::warn!("engine {:08x} is left out: unknown location or kind", member.id);
+            }
+            return None;
+        };
+        Some(Listed {
+            engine: member.id,
+            address: member.address,
+            location,
+            kind,
+            cell: member.cell,
+            state: match member.state {
+                State::Ready => EngineState::Active,
+                State::Draining => EngineState::Leaving,
+                State::Gone => EngineState::Left,
+            },
+            started: (member.started_ms > 0).then(|| Duration::from_millis(member.started_ms)),
+        })
+    }
+}
--- /dev/null
+++ b/crates/front/src/program/clients.rs
@@ -0,0 +1,205 @@
+//! Client connections: requests are read as they come and put into the owner's queue; answers go out as the
+//! owner gives them.
+
+use super::start::Shared;
+use crate::protocol::client::{self, Batch, Fault, FaultKind, LONGEST_LINE, Message};
+use crate::protocol::statement::table_group;
+use crate::routing::{Answer, Asker, Heard, Kind, Taken};
+use crate::transport::{self, Broken, Outbox, Wire};
+use async_io::{Async, Timer};
+use futures_lite::{FutureExt, StreamExt};
+use lemonusher::BatchId;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::panic::AssertUnwindSafe;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const MOST_OPEN: usize = 32;
+const OUTBOX: usize = 512 * 1024;
+const STALL: Duration = Duration::from_secs(10); // A client that reads nothing for so long has gone.
+const NO_DESCRIPTOR: Duration = Duration::from_millis(20);
+
+/// One client connection.
+struct Session {
+    shared: Rc<Shared>,
+    outbox: Outbox,
+    open: RefCell<BTreeMap<u64, BatchId>>,
+    counted: Cell<bool>,
+    used: Cell<Instant>,
+}
+
+type Sessions = Rc<RefCell<BTreeMap<u64, Rc<Session>>>>;
+
+/// Accepts for as long as the front runs.
+pub async fn run(shared: Rc<Shared>, listener: Async<TcpListener>) {
+    let sessions = Sessions::default();
+    for number in 0.. {
+        while sessions.borrow().len() >= shared.clients {
+            // Room is made by closing what has been idle longest; if all is busy, who comes waits in line.
+            if !close_idlest(&sessions) {
+                Timer::after(NO_DESCRIPTOR).await;
+            } else {
+                futures_lite::future::yield_now().await;
+            }
+        }
+        match listener.accept().await {
+            Ok((wire, _)) => {
+                let _ = wire.get_ref().set_nodelay(true);
+                shared.counters.add(Kind::Connections, None);
+                let session = Rc::new(Session::new(shared.clone(), Wire::new(wire)));
+                sessions.borrow_mut().insert(number, session.clone());
+                let sessions = sessions.clone();
+                let serve = async move {
+                    if AssertUnwindSafe(session.serve()).catch_unwind().await.is_err() {
+                        session.shared.counters.add(Kind::Panics, None);
+                        log::error!("a client's connection panicked and ends");
+                    }
+                    session.end().await;
+                    sessions.borrow_mut().remove(&number);
+                };
+                shared.executor.spawn(serve).detach();
+            }
+            Err(error) => {
+                log::warn!("can't accept: {error}");
+                close_idlest(&sessions);
+                Timer::after(NO_DESCRIPTOR).await;
+            }
+        }
+    }
+}
+
+fn close_idlest(sessions: &Sessions) -> bool {
+    let sessions = sessions.borrow();
+    let idle = sessions.values().filter(|s| s.open.borrow().is_empty() && s.outbox.waiting() == 0);
+    let Some(idlest) = idle.min_by_key(|s| s.used.get()) else { return false };
+    idlest.outbox.close();
+    true
+}
+
+impl Session {
+    fn new(shared: Rc<Shared>, wire: Wire) -> Self {
+        let outbox = Outbox::new(wire, OUTBOX);
+        let used = Cell::new(Instant::now());
+        Session { shared, outbox, open: RefCell::default(), counted: Cell::new(false), used }
+    }
+
+    async fn serve(self: &Rc<Self>) {
+        let read = async {
+            if let Err(error) = self.read().await {
+                log::debug!("a client's connection ends: {error}");
+            }
+            Ok(())
+        };
+        let write = self.outbox.run(STALL, || self.count());
+        if let Err(error) = read.or(write).await {
+            log::debug!("a client's connection ends: {error}");
+        }
+    }
+
+    /// What it left open, nobody waits for.
+    async fn end(self: &Rc<Self>) {
+        self.outbox.close();
+        let open = std::mem::take(&mut *self.open.borrow_mut());
+        for (ticket, batch) in open {
+            let _ = self.shared.queue.send(Heard::Left { asker: self.clone(), ticket, batch }).await;
+        }
+        if self.counted.replace(false) {
+            self.shared.unwritten.set(self.shared.unwritten.get() - 1);
+        }
+    }
+
+    /// Keeps count of the connections on which something waits to be written.
+    fn count(&self) {
+        let unwritten = &self.shared.unwritten;
+        let waits = self.outbox.waiting() > 0;
+        match (self.counted.replace(waits), waits) {
+            (false, true) => unwritten.set(unwritten.get() + 1),
+            (true, false) => unwritten.set(unwritten.get() - 1),
+            _ => {}
+        }
+    }
+
+    async fn read(self: &Rc<Self>) -> Result<(), Broken<std::convert::Infallible>> {
+        let wire = self.outbox.wire();
+        let mut lines = pin!(transport::messages(wire, LONGEST_LINE, None, client::cut));
+        while let Some(message) = lines.next().await {
+            self.used.set(Instant::now());
+            match message? {
+                Ok(Message::Batch(batch)) => self.take(batch).await,
+                Ok(Message::Heartbeat(id)) => {
+                    self.write(&client::heartbeat(id, !self.shared.closing.get()));
+                }
+                Ok(Message::Revoke(ticket)) => {
+                    let left = self.open.borrow_mut().remove(&ticket);
+                    if let Some(batch) = left {
+                        let left = Heard::Left { asker: self.clone(), ticket, batch };
+                        let _ = self.shared.queue.send(left).await;
+                    }
+                }
+                Err(fault) => self.fault(fault),
+            }
+        }
+        Ok(())
+    }
+
+    async fn take(self: &Rc<Self>, batch: Batch) {
+        let named = |class: &lemonusher_stated::Class| class.name == batch.method;
+        let Some(service_group) = self.shared.settled.classes.iter().position(named) else {
+            return self.fault(Fault { id: Some(batch.id), kind: FaultKind::UnknownMethod });
+        };
+        let (twice, many) = {
+            let open = self.open.borrow();
+            (open.contains_key(&batch.id), open.len() >= MOST_OPEN)
+        };
+        if twice || many {
+            // An error under an id that is open would end the batch that came under it first.
+            let id = (!twice).then_some(batch.id);
+            return self.fault(Fault { id, kind: FaultKind::InvalidRequest });
+        }
+        let call: BatchId = batch.call.into();
+        log::debug!("batch {call} taken: {} of {} ms", batch.method, batch.ttl_ms);
+        self.open.borrow_mut().insert(batch.id, call.clone());
+        let taken = Taken {
+            asker: self.clone(),
+            ticket: batch.id,
+            batch: call,
+            service_group,
+            table_group: table_group(&String::from_utf8_lossy(&batch.statement)).unwrap_or_default(),
+            patience: Duration::from_millis(batch.ttl_ms),
+            repeat: batch.repeat,
+            statement: batch.statement.into(),
+        };
+        let _ = self.shared.queue.send(Heard::Taken(taken)).await;
+    }
+
+    fn fault(&self, fault: Fault) {
+        self.shared.counters.add(Kind::Refused, None);
+        log::debug!("a client's line is no request: {fault:?}");
+        self.write(&client::fault(&fault));
+    }
+
+    fn write(&self, line: &str) {
+        if self.outbox.push(line.as_bytes()).is_err() {
+            log::debug!("a client reads too slowly: its connection ends");
+            self.outbox.close();
+        }
+        self.count();
+    }
+}
+
+impl Asker for Session {
+    fn answer(&self, ticket: u64, answer: Answer) {
+        if self.open.borrow_mut().remove(&ticket).is_none() {
+            return;
+        }
+        self.used.set(Instant::now());
+        self.write(&match answer {
+            Answer::Returned(rows) => client::result(ticket, &rows),
+            Answer::PushedBack(wait) => client::pushed_back(ticket, wait.map(|w| w.as_millis() as u64)),
+            Answer::Errored => client::errored(ticket),
+        });
+    }
+}
--- /dev/null
+++ b/crates/front/src/program/engines.rs
@@ -0,0 +1,585 @@
+//! Connections to engines. One task takes the owner's orders; each connection has a session that reads the
+//! answers. A pool belongs to an engine's id: a new engine may have the address of one that has gone.
+
+use super::start::Shared;
+use crate::protocol::engine::{self, Answer, LONGEST_ANSWER, Malformed, Terms, Word};
+use crate::routing::{Heard, Kind, Listed, Order, Token};
+use crate::transport::{self, Broken, Outbox, Wire};
+use async_channel::Receiver;
+use async_io::Timer;
+use futures_lite::{FutureExt, StreamExt};
+use lemonusher::{Cost, EngineId, EngineState, LoadReport, Note, Outcome, RosterKind};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::pin::pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const OUTBOX: usize = 1024 * 1024;
+const LARGEST_RESULT: usize = 64 * 1024;
+const MOST_PAGES: usize = 64;
+const MOST_IDS: usize = 4096; // Ids that one connection has carried before it takes no further ones.
+const MOST_WAITING: usize = 1024; // Orders that wait for a connection to one engine.
+const IDLE_SHARE: u32 = 2; // An idle connection is closed after this part of the time the engine gives it.
+const SPARE_SHARE: usize = 4; // A further connection is opened once less than this part of streams is free.
+const QUIET_PERIODS: u32 = 3; // Note periods without a byte after which a connection takes nothing new.
+
+/// How far a dispatch had come when its connection failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HowFar {
+    NotConnected,
+    NotWhollySent,
+    Sent,
+    Answering,
+}
+
+impl HowFar {
+    /// What is known of it, and no more.
+    fn outcome(self) -> Outcome {
+        match self {
+            HowFar::NotConnected | HowFar::NotWhollySent => Outcome::NoConnection,
+            HowFar::Sent | HowFar::Answering => Outcome::Reset,
+        }
+    }
+}
+
+/// Something that is out on a connection.
+struct Out {
+    token: Token,
+    /// Where its message ends among all that was written.
+    end: u64,
+    kind: OutKind,
+}
+
+enum OutKind {
+    Probe,
+    Batch(Option<Pages>),
+}
+
+/// A result of several pages that has begun to come.
+struct Pages {
+    pages: Vec<Option<Vec<u8>>>,
+    missing: usize,
+    bytes: usize,
+    cost: Option<Cost>,
+    load: Option<LoadReport>,
+}
+
+/// A cancel that waits to be handed over.
+struct GivingUp {
+    token: Token,
+    end: u64,
+    cancel_end: u64,
+}
+
+struct Link {
+    shared: Rc<Shared>,
+    engine: EngineId,
+    outbox: Outbox,
+    out: RefCell<BTreeMap<Arc<str>, Out>>,
+    /// Ids that were ever out here: none is sent twice, so that no answer is taken for another's.
+    carried: RefCell<BTreeSet<Arc<str>>>,
+    giving_up: RefCell<Vec<GivingUp>>,
+    /// It takes nothing new, and ends once nothing is out.
+    retired: Cell<bool>,
+    heard: Cell<Instant>,
+    used: Cell<Instant>,
+}
+
+struct Pool {
+    address: SocketAddr,
+    state: EngineState,
+    started: Option<Duration>,
+    links: Vec<Rc<Link>>,
+    connecting: usize,
+    waiting: Vec<Order>,
+}
+
+struct Engines {
+    shared: Rc<Shared>,
+    pools: RefCell<BTreeMap<EngineId, Pool>>,
+    /// Where each token is out.
+    places: RefCell<BTreeMap<Token, (Rc<Link>, Arc<str>)>>,
+}
+
+/// Carries out the owner's orders for as long as the front runs.
+pub async fn run(shared: Rc<Shared>, orders: Receiver<Order>) {
+    let engines = Rc::new(Engines { shared, pools: RefCell::default(), places: RefCell::default() });
+    engines.shared.executor.spawn(tend(engines.clone())).detach();
+    while let Ok(order) = orders.recv().await {
+        engines.take(order).await;
+    }
+}
+
+/// Closes connections that have been idle, well before their engine does, and retires quiet ones.
+async fn tend(engines: Rc<Engines>) {
+    let ceilings = &engines.shared.settled.ceilings;
+    let idle = Duration::from_micros(ceilings.conn_idle_us) / IDLE_SHARE;
+    let period = Duration::from_micros(engines.shared.settled.family_info.note_period_us);
+    let quiet = period * QUIET_PERIODS + engines.shared.connect_timeout;
+    loop {
+        Timer::after(engines.shared.connect_timeout).await;
+        let links: Vec<Rc<Link>> = engines.pools.borrow().values().flat_map(|p| p.links.clone()).collect();
+        for link in links {
+            let waits = !link.out.borrow().is_empty();
+            let since = link.heard.get().max(link.used.get()).elapsed();
+            if (waits && !period.is_zero() && since > quiet) || (!waits && idle > period && since > idle) {
+                link.retire();
+            }
+        }
+    }
+}
+
+impl Engines {
+    async fn take(self: &Rc<Self>, order: Order) {
+        match order {
+            Order::Roster(kind, listed) => self.list(kind, listed),
+            Order::Cancel(token) => self.cancel(token).await,
+            Order::Weigh { token, priority } => {
+                let place = self.places.borrow().get(&token).cloned();
+                if let Some((link, id)) = place {
+                    let _ = link.outbox.push(engine::weigh(&id, priority).as_bytes());
+                }
+            }
+            Order::Dispatch { engine, .. } | Order::Probe { engine, .. } => self.send(engine, order).await,
+        }
+    }
+
+    /// Pools follow the list: one is made for each new engine, and one that has gone opens nothing further.
+    fn list(self: &Rc<Self>, kind: RosterKind, listed: Vec<Listed>) {
+        let mut opened = Vec::new();
+        {
+            let mut pools = self.pools.borrow_mut();
+            if kind != RosterKind::Changes {
+                pools.values_mut().for_each(|pool| pool.state = EngineState::Left);
+            }
+            for one in listed {
+                let pool = pools.entry(one.engine).or_insert_with(|| Pool::new(&one));
+                if pool.address != one.address || pool.started != one.started {
+                    pool.links.iter().for_each(|link| link.retire());
+                }
+                (pool.address, pool.state, pool.started) = (one.address, one.state, one.started);
+                if one.state == EngineState::Active && pool.links.iter().all(|l| l.retired.get()) {
+                    opened.push(one.engine);
+                }
+            }
+            pools.values().filter(|p| p.state == EngineState::Left).for_each(|pool| {
+                pool.links.iter().for_each(|link| link.retire());
+            });
+            pools.retain(|_, p| p.state != EngineState::Left || !p.links.is_empty() || p.connecting > 0);
+        }
+        for engine in opened {
+            self.open(engine);
+        }
+    }
+
+    async fn send(self: &Rc<Self>, engine: EngineId, order: Order) {
+        let link = {
+            let mut pools = self.pools.borrow_mut();
+            let Some(pool) = pools.get_mut(&engine).filter(|p| p.state != EngineState::Left) else {
+                drop(pools);
+                return self.fail(order, HowFar::NotConnected).await;
+            };
+            let streams = self.shared.settled.ceilings.streams_per_conn.max(1);
+            let link = pool.free(&order, streams);
+            if link.is_none() && pool.waiting.len() < MOST_WAITING {
+                pool.waiting.push(order.clone());
+            }
+            let free: usize = pool.links.iter().map(|l| l.free(streams)).sum();
+            let wanted = pool.waiting.len() + streams / SPARE_SHARE;
+            if free + pool.connecting * streams < wanted && pool.links.len() < self.shared.per_engine {
+                drop(pools);
+                self.open(engine);
+            }
+            link
+        };
+        if let Some(link) = link {
+            self.hand_over(&link, order).await;
+        }
+    }
+
+    /// Puts an order on a connection.
+    async fn hand_over(self: &Rc<Self>, link: &Rc<Link>, order: Order) {
+        let (token, id, message, kind) = match &order {
+            Order::Dispatch {
+                token, batch, service_group, statement, patience, priority, memory_mb, ..
+            } => {
+                let class = self.shared.settled.classes.get(*service_group);
+                let terms = Terms {
+                    queue: class.map_or("", |class| &class.name),
+                    budget_ms: patience.as_millis() as u64,
+                    weight: *priority,
+                    workmem: memory_mb.max(0.0) as u64,
+                };
+                (*token, batch.clone(), engine::serve(batch, &terms, statement), OutKind::Batch(None))
+            }
+            Order::Probe { token, .. } => {
+                let id: Arc<str> = format!("p{token}").into();
+                let report = !self.shared.settled.report.fields.is_empty();
+                (*token, id.clone(), engine::probe(&id, report).into_bytes(), OutKind::Probe)
+            }
+            _ => return,
+        };
+        let Ok(end) = link.outbox.push(&message) else {
+            link.retire();
+            return self.fail(order, HowFar::NotWhollySent).await;
+        };
+        link.used.set(Instant::now());
+        link.carried.borrow_mut().insert(id.clone());
+        link.out.borrow_mut().insert(id.clone(), Out { token, end, kind });
+        self.places.borrow_mut().insert(token, (link.clone(), id));
+        if link.carried.borrow().len() >= MOST_IDS {
+            link.retired.set(true);
+        }
+    }
+
+    async fn cancel(&self, token: Token) {
+        let Some((link, id)) = self.places.borrow_mut().remove(&token) else {
+            // It may still wait for a connection: then nothing was sent.
+            let waited = self.pools.borrow_mut().values_mut().find_map(|pool| {
+                let place = pool.waiting.iter().position(|order| order.token() == Some(token))?;
+                Some(pool.waiting.remove(place))
+            });
+            if let Some(order) = waited {
+                self.end_of(&order, Outcome::NotSent).await;
+            }
+            return;
+        };
+        let out = link.out.borrow_mut().remove(&id);
+        let Some(out) = out else { return };
+        let message = match out.kind {
+            OutKind::Probe => return link.settle(),
+            OutKind::Batch(None) => engine::cancel(&id),
+            OutKind::Batch(Some(_)) => engine::release(&id),
+        };
+        match link.outbox.push(message.as_bytes()) {
+            Ok(cancel_end) => {
+                link.giving_up.borrow_mut().push(GivingUp { token, end: out.end, cancel_end });
+                link.given_up().await;
+            }
+            Err(_) => {
+                let how_far =
+                    if link.outbox.written() < out.end { HowFar::NotWhollySent } else { HowFar::Sent };
+                link.outbox.close();
+                let _ = link.shared.queue.send(ended(token, how_far.outcome())).await;
+            }
+        }
+        link.settle();
+    }
+
+    /// An order that never got on a connection, or not wholly.
+    async fn fail(&self, order: Order, how_far: HowFar) {
+        self.end_of(&order, how_far.outcome()).await;
+    }
+
+    async fn end_of(&self, order: &Order, outcome: Outcome) {
+        let heard = match order {
+            Order::Dispatch { token, .. } => ended(*token, outcome),
+            Order::Probe { token, .. } => Heard::Probed { token: *token, answered: false, load: None },
+            _ => return,
+        };
+        let _ = self.shared.queue.send(heard).await;
+    }
+
+    /// Opens a further connection to an engine, in a task of its own.
+    fn open(self: &Rc<Self>, engine: EngineId) {
+        let address = {
+            let mut pools = self.pools.borrow_mut();
+            let Some(pool) = pools.get_mut(&engine) else { return };
+            pool.connecting += 1;
+            pool.address
+        };
+        let engines = self.clone();
+        let session = async move {
+            let connected = transport::connect(address, engines.shared.connect_timeout).await;
+            if let Some(pool) = engines.pools.borrow_mut().get_mut(&engine) {
+                pool.connecting -= 1;
+            }
+            match connected {
+                Ok(wire) => engines.serve(engine, address, wire).await,
+                Err(error) => {
+                    log::debug!("engine {engine:08x}: no connection: {error}");
+                    engines.unconnected(engine).await;
+                }
+            }
+        };
+        self.shared.executor.spawn(session).detach();
+    }
+
+    /// No connection came up: what waits for one, with none left to wait for, is over.
+    async fn unconnected(&self, engine: EngineId) {
+        let waiting = match self.pools.borrow_mut().get_mut(&engine) {
+            Some(pool) if pool.connecting == 0 => std::mem::take(&mut pool.waiting),
+            _ => Vec::new(),
+        };
+        for order in waiting {
+            self.fail(order, HowFar::NotConnected).await;
+        }
+    }
+
+    /// One connection, from when it is up to its end.
+    async fn serve(self: &Rc<Self>, engine: EngineId, address: SocketAddr, wire: Wire) {
+        self.shared.counters.add(Kind::Engines, None);
+        let link = Rc::new(Link {
+            shared: self.shared.clone(),
+            engine,
+            outbox: Outbox::new(wire, OUTBOX),
+            out: RefCell::default(),
+            carried: RefCell::default(),
+            giving_up: RefCell::default(),
+            retired: Cell::new(false),
+            heard: Cell::new(Instant::now()),
+            used: Cell::new(Instant::now()),
+        });
+        let waiting = match self.pools.borrow_mut().get_mut(&engine) {
+            Some(pool) if pool.state != EngineState::Left && pool.address == address => {
+                pool.links.push(link.clone());
+                std::mem::take(&mut pool.waiting)
+            }
+            _ => return,
+        };
+        for order in waiting {
+            self.send(engine, order).await;
+        }
+        let end = AssertUnwindSafe(self.converse(&link)).catch_unwind().await;
+        link.retired.set(true);
+        link.outbox.close();
+        match end {
+            Ok(Some(error)) => log::debug!("engine {engine:08x}: a connection ends: {error}"),
+            Ok(None) => {}
+            Err(_) => {
+                self.shared.counters.add(Kind::Panics, None);
+                log::error!("engine {engine:08x}: a connection panicked and ends");
+            }
+        }
+        if let Some(pool) = self.pools.borrow_mut().get_mut(&engine) {
+            pool.links.retain(|other| !Rc::ptr_eq(other, &link));
+        }
+        self.unconnected(engine).await;
+        self.broken(&link).await;
+    }
+
+    async fn converse(&self, link: &Rc<Link>) -> Option<String> {
+        let read = async {
+            match self.read(link).await {
+                Ok(()) => None,
+                Err(error) => Some(error.to_string()),
+            }
+        };
+        let write = async {
+            let (moved, steps) = async_channel::bounded(1);
+            let run = async {
+                let end = link.outbox.run(self.shared.connect_timeout * 4, || drop(moved.try_send(()))).await;
+                end.err().map(|e| e.to_string())
+            };
+            let given_up = async {
+                while steps.recv().await.is_ok() {
+                    link.given_up().await;
+                }
+                None
+            };
+            run.or(given_up).await
+        };
+        read.or(write).await
+    }
+
+    async fn read(&self, link: &Rc<Link>) -> Result<(), Broken<Malformed>> {
+        let mut answers = pin!(transport::messages(link.outbox.wire(), LONGEST_ANSWER, None, engine::cut));
+        while let Some(answer) = answers.next().await {
+            let answer = answer?;
+            link.heard.set(Instant::now());
+            if let Some((token, heard)) = link.hear(answer).map_err(Broken::Bad)? {
+                if !matches!(heard, Heard::Noted { .. }) {
+                    self.places.borrow_mut().remove(&token);
+                }
+                let _ = self.shared.queue.send(heard).await;
+            }
+            link.settle();
+        }
+        Ok(())
+    }
+
+    /// All that was out on a connection that has ended is over, by how far it had come.
+    async fn broken(&self, link: &Link) {
+        let written = link.outbox.written();
+        let sent = |end: u64| if written < end { HowFar::NotWhollySent } else { HowFar::Sent };
+        let out = std::mem::take(&mut *link.out.borrow_mut());
+        for out in out.into_values() {
+            self.places.borrow_mut().remove(&out.token);
+            let heard = match out.kind {
+                OutKind::Probe => Heard::Probed { token: out.token, answered: false, load: None },
+                OutKind::Batch(Some(_)) => ended(out.token, HowFar::Answering.outcome()),
+                OutKind::Batch(None) => ended(out.token, sent(out.end).outcome()),
+            };
+            let _ = self.shared.queue.send(heard).await;
+        }
+        let giving_up = std::mem::take(&mut *link.giving_up.borrow_mut());
+        for one in giving_up {
+            let _ = self.shared.queue.send(ended(one.token, sent(one.end).outcome())).await;
+        }
+    }
+}
+
+fn ended(token: Token, outcome: Outcome) -> Heard {
+    Heard::Ended { token, outcome, cost: None, load: None, rows: Vec::new() }
+}
+
+impl Order {
+    fn token(&self) -> Option<Token> {
+        match self {
+            Order::Dispatch { token, .. } | Order::Probe { token, .. } => Some(*token),
+            _ => None,
+        }
+    }
+
+    /// The id that it would go under, where that may have been out before.
+    fn batch(&self) -> Option<&Arc<str>> {
+        if let Order::Dispatch { batch, .. } = self { Some(batch) } else { None }
+    }
+}
+
+impl Pool {
+    fn new(listed: &Listed) -> Self {
+        Pool {
+            address: listed.address,
+            state: listed.state,
+            started: listed.started,
+            links: Vec::new(),
+            connecting: 0,
+            waiting: Vec::new(),
+        }
+    }
+
+    /// The fullest connection that can take the order, so that others fall idle.
+    fn free(&self, order: &Order, streams: usize) -> Option<Rc<Link>> {
+        let fits = |link: &&Rc<Link>| {
+            link.free(streams) > 0 && order.batch().is_none_or(|id| !link.carried.borrow().contains(id))
+        };
+        self.links.iter().filter(fits).min_by_key(|link| link.free(streams)).cloned()
+    }
+}
+
+impl Link {
+    /// Streams that it still has to give.
+    fn free(&self, streams: usize) -> usize {
+        if self.retired.get() { 0 } else { streams.saturating_sub(self.out.borrow().len()) }
+    }
+
+    fn retire(&self) {
+        self.retired.set(true);
+        self.settle();
+    }
+
+    /// A retired connection closes once nothing is out on it.
+    fn settle(&self) {
+        if self.retired.get() && self.out.borrow().is_empty() && self.giving_up.borrow().is_empty() {
+            self.outbox.close();
+        }
+    }
+
+    /// Cancels that the system has taken whole.
+    async fn given_up(&self) {
+        let written = self.outbox.written();
+        let taken: Vec<GivingUp> = {
+            let mut giving_up = self.giving_up.borrow_mut();
+            giving_up.extract_if(.., |one| one.cancel_end <= written).collect()
+        };
+        for one in taken {
+            let _ = self.shared.queue.send(ended(one.token, Outcome::Cancelled)).await;
+        }
+        self.settle();
+    }
+
+    /// What an answer means for what is out; an answer that belongs to nothing ends the connection.
+    fn hear(&self, answer: Answer) -> Result<Option<(Token, Heard)>, Malformed> {
+        let load = answer.load.map(|values| {
+            self.shared.fields.named(values.iter().map(|(name, value)| (name.as_str(), *value)))
+        });
+        let mut all = self.out.borrow_mut();
+        let Some((id, out)) =
+            all.get_key_value(answer.id.as_str()).map(|(id, _)| id.clone()).and_then(|id| {
+                let out = all.get_mut(&id)?;
+                Some((id, out))
+            })
+        else {
+            // It has been given up meanwhile: what it holds there is let go.
+            return match (self.carried.borrow().contains(answer.id.as_str()), answer.word) {
+                (false, _) => Err(Malformed::Word),
+                (true, Word::Hit { pages, .. }) if pages > 1 => {
+                    let _ = self.outbox.push(engine::release(&answer.id).as_bytes());
+                    Ok(None)
+                }
+                (true, _) => Ok(None),
+            };
+        };
+        let token = out.token;
+        let over =
+            |outcome| Some((token, Heard::Ended { token, outcome, cost: None, load, rows: Vec::new() }));
+        let heard = match (&mut out.kind, answer.word) {
+            (OutKind::Probe, Word::Pong) => Some((token, Heard::Probed { token, answered: true, load })),
+            (OutKind::Probe, Word::Sick) => Some((token, Heard::Probed { token, answered: false, load })),
+            (OutKind::Batch(_), Word::Info(note)) => {
+                return Ok(note.map(|note| (token, Heard::Noted { token, note: noted(note) })));
+            }
+            (OutKind::Batch(None), Word::Shed) => over(Outcome::Full),
+            (OutKind::Batch(None), Word::Late) => over(Outcome::NotSent),
+            (OutKind::Batch(_), Word::Fault) => over(Outcome::Errored),
+            (OutKind::Batch(pages @ None), Word::Hit { pages: count, cost }) => {
+                let cost = cost.map(|(work_ms, memory_mb)| Cost {
+                    work: Duration::from_secs_f64(work_ms.min(1e9) / 1e3),
+                    memory_mb,
+                });
+                if count == 1 {
+                    let (outcome, rows) = (Outcome::Returned, answer.body);
+                    Some((token, Heard::Ended { token, outcome, cost, load, rows }))
+                } else if count > MOST_PAGES {
+                    let _ = self.outbox.push(engine::release(&id).as_bytes());
+                    over(Outcome::Errored)
+                } else {
+                    let ask: String = (1..count).map(|page| engine::read(&id, page)).collect();
+                    let mut all = vec![None; count];
+                    let bytes = answer.body.len();
+                    all[0] = Some(answer.body);
+                    *pages = Some(Pages { pages: all, missing: count - 1, bytes, cost, load });
+                    if self.outbox.push(ask.as_bytes()).is_err() {
+                        return Err(Malformed::Length);
+                    }
+                    return Ok(None);
+                }
+            }
+            (OutKind::Batch(Some(pages)), Word::Part { page }) => {
+                let place = pages.pages.get_mut(page).filter(|page| page.is_none());
+                *place.ok_or(Malformed::Field)? = Some(answer.body);
+                pages.missing -= 1;
+                pages.bytes += pages.pages[page].as_ref().map_or(0, Vec::len);
+                if pages.bytes > LARGEST_RESULT {
+                    let _ = self.outbox.push(engine::release(&id).as_bytes());
+                    over(Outcome::Errored)
+                } else if pages.missing > 0 {
+                    return Ok(None);
+                } else {
+                    let _ = self.outbox.push(engine::release(&id).as_bytes());
+                    let rows = pages.pages.iter_mut().filter_map(Option::take).flatten().collect();
+                    let (outcome, cost, load) = (Outcome::Returned, pages.cost, pages.load);
+                    Some((token, Heard::Ended { token, outcome, cost, load, rows }))
+                }
+            }
+            _ => return Err(Malformed::Word),
+        };
+        all.remove(&id);
+        log::trace!("engine {:08x}: {id} is over", self.engine);
+        Ok(heard)
+    }
+}
+
+fn noted(note: engine::Note) -> Note {
+    match note {
+        engine::Note::Advance(share) => Note::Progress(share),
+        engine::Note::Disk(memory_mb) => Note::Spills(memory_mb),
+        engine::Note::StallForMemory => Note::WaitsForMemory,
+        engine::Note::StallForLoad => Note::WaitsForLoad,
+    }
+}
--- /dev/null
+++ b/crates/front/src/program/mod.rs
@@ -0,0 +1,6 @@
+//! Start-up, limits, signals, counters, log, and the sessions that put the protocol before the owner.
+
+mod channel;
+mod clients;
+mod engines;
+pub mod start;
--- /dev/null
+++ b/crates/front/src/program/start.rs
@@ -0,0 +1,162 @@
+//! Reads what the front is told, starts the parts, and waits for the end.
+
+use super::{channel, clients, engines};
+use crate::protocol;
+use crate::routing::{Clock, Counters, Heard, Limits, Owner};
+use crate::transport;
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use lemonusher_stated::{LoadFields, Settled, deployment, span};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+// Facts of the platform, as its pages state them.
+const LONGEST_CLOSING: Duration = Duration::from_millis(3000); // The kill comes this long after the signal,
+const CLOSING_GRACE: Duration = Duration::from_millis(700); // or a shorter longest time limit, and this.
+const STILL_COMING: Duration = Duration::from_millis(600); // So long after the signal batches still come.
+
+// Bounds of this program.
+const QUEUE: usize = 4096;
+const BACKLOG: i32 = 4096;
+const CLOSING_MARGIN: Duration = Duration::from_millis(250); // Answers are on their way before the kill.
+const STATEMENT_SHARE: usize = 4; // Part of the memory that statements may take.
+
+/// The file that `PROXY_CONFIG` names.
+#[derive(Deserialize)]
+struct Told {
+    name: String,
+    listen: SocketAddr,
+    seed: String,
+    limits: ToldLimits,
+    channel: SocketAddr,
+    known: Box<RawValue>,
+    settings: Settled,
+}
+
+#[derive(Deserialize)]
+struct ToldLimits {
+    memory_mb: usize,
+    sockets: usize,
+}
+
+/// Why the front can't start.
+#[derive(Debug)]
+pub enum Unfit {
+    Missing(&'static str),
+    Unreadable(String, io::Error),
+    Malformed(String, String),
+    Listen(SocketAddr, io::Error),
+    Signals(io::Error),
+}
+
+impl fmt::Display for Unfit {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Unfit::Missing(name) => write!(f, "the variable {name} is not set"),
+            Unfit::Unreadable(path, error) => write!(f, "can't read {path}: {error}"),
+            Unfit::Malformed(path, what) => write!(f, "can't use {path}: {what}"),
+            Unfit::Listen(address, error) => write!(f, "can't listen on {address}: {error}"),
+            Unfit::Signals(error) => write!(f, "can't watch for signals: {error}"),
+        }
+    }
+}
+
+/// What all parts share.
+pub struct Shared {
+    pub settled: Settled,
+    pub fields: LoadFields,
+    pub counters: Rc<Counters>,
+    pub queue: async_channel::Sender<Heard>,
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub closing: std::cell::Cell<bool>,
+    /// Client connections that still have something to write.
+    pub unwritten: std::cell::Cell<usize>,
+    /// Descriptors that clients may hold, and connections to one engine.
+    pub clients: usize,
+    pub per_engine: usize,
+    pub connect_timeout: Duration,
+}
+
+/// Serves until told to end.
+pub fn run() -> Result<(), Unfit> {
+    let path = std::env::var("PROXY_CONFIG").map_err(|_| Unfit::Missing("PROXY_CONFIG"))?;
+    let text = std::fs::read_to_string(&path).map_err(|e| Unfit::Unreadable(path.clone(), e))?;
+    let told: Told =
+        serde_json::from_str(&text).map_err(|e| Unfit::Malformed(path.clone(), e.to_string()))?;
+    let malformed = |what: String| Unfit::Malformed(path.clone(), what);
+    let seed =
+        u64::from_str_radix(&told.seed, 16).map_err(|_| malformed("'seed' is no hex number".into()))?;
+    let known = protocol::channel::known(told.known.get(), &told.settings.areas, &told.settings.kinds)
+        .map_err(|e| malformed(e.to_string()))?;
+    let stated = deployment(&told.settings);
+    let listener = transport::listen(told.listen, BACKLOG).map_err(|e| Unfit::Listen(told.listen, e))?;
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(Unfit::Signals)?;
+
+    let longest = stated.service_groups.iter().map(|t| t.time_limit).max().unwrap_or_default();
+    let clock = Clock::starting(stated.duties.cold_for + stated.tick);
+    let names = told.settings.classes.iter().map(|class| class.name.clone()).collect();
+    let counters = Rc::new(Counters::new(names));
+    let (queue, heard) = async_channel::bounded(QUEUE);
+    let (orders, ordered) = async_channel::bounded(QUEUE);
+    let executor = Rc::new(LocalExecutor::new());
+    let limits = Limits {
+        open: told.settings.ceilings.open_cap.max(1),
+        bytes: told.limits.memory_mb * 1024 * 1024 / STATEMENT_SHARE,
+        probe: stated.permits.connect_timeout,
+    };
+    // Clients hold a third at most; engines share another, and the rest is for all else.
+    let third = told.limits.sockets / 3;
+    let shared = Rc::new(Shared {
+        fields: LoadFields::of(&told.settings),
+        counters: counters.clone(),
+        queue: queue.clone(),
+        executor: executor.clone(),
+        closing: false.into(),
+        unwritten: 0.into(),
+        clients: third + third / 2,
+        per_engine: third / 32,
+        connect_timeout: span(told.settings.ceilings.connect_timeout_us),
+        settled: told.settings,
+    });
+    log::info!("front {} listens on {}, {} engine events known", told.name, told.listen, known.1.len());
+    let owner = Owner::new(stated, seed, clock, limits, orders, counters.clone());
+    let open = owner.open();
+    let start = async {
+        executor.spawn(owner.run(heard)).detach();
+        executor.spawn(engines::run(shared.clone(), ordered)).detach();
+        executor.spawn(channel::run(shared.clone(), told.channel, known)).detach();
+        executor.spawn(clients::run(shared.clone(), listener)).detach();
+        let by = LONGEST_CLOSING.min(longest) + CLOSING_GRACE - CLOSING_MARGIN;
+        let told_at = wait_for_end(signals, &counters).await;
+        shared.closing.set(true);
+        let _ = queue.send(Heard::Closing(by)).await;
+        // Batches come for a while yet; all that has come is answered and written before the end.
+        Timer::at(told_at + STILL_COMING * 2).await;
+        while open.get() > 0 || shared.unwritten.get() > 0 {
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        Timer::after(Duration::from_millis(20)).await;
+    };
+    async_io::block_on(executor.run(start));
+    log::info!("ends; counts: {counters}");
+    Ok(())
+}
+
+/// Waits for the signal to end; prints the counters on the other one.
+async fn wait_for_end(mut signals: Signals, counters: &Counters) -> Instant {
+    while let Some(signal) = signals.next().await {
+        match signal {
+            Ok(Signal::Usr1) => log::info!("counts: {counters}"),
+            Ok(_) => break,
+            Err(error) => log::warn!("signals: {error}"),
+        }
+    }
+    Instant::now()
+}
--- /dev/null
+++ b/crates/front/src/protocol/client.rs
@@ -0,0 +1,124 @@
+//! What clients say and are told: JSON-RPC 2.0, one message a line, no batches of messages.
+//!
+//! Seen from clients: `revoke` comes as a notification that names the request's id in its params.
+
+use super::json::{self, Value};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+
+/// Longest line that is read.
+pub const LONGEST_LINE: usize = 256 * 1024;
+
+/// A message from a client.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Message {
+    Batch(Batch),
+    /// The client no longer waits for the request with this id.
+    Revoke(u64),
+    Heartbeat(u64),
+}
+
+/// A batch as a client sends it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Batch {
+    pub id: u64,
+    /// The service group's name.
+    pub method: String,
+    pub call: String,
+    pub ttl_ms: u64,
+    pub repeat: bool,
+    pub statement: Vec<u8>,
+}
+
+/// What a line gets that is no message: the standard error, and the id if one could be read.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Fault {
+    pub id: Option<u64>,
+    pub kind: FaultKind,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultKind {
+    NotJson,
+    InvalidRequest,
+    UnknownMethod,
+    InvalidParams,
+}
+
+/// Cuts one line off what has come.
+pub fn cut(bytes: &[u8]) -> Result<Option<(usize, Result<Message, Fault>)>, std::convert::Infallible> {
+    let end = bytes.iter().position(|b| *b == b'\n');
+    Ok(end.map(|end| (end + 1, decode(&bytes[..end]))))
+}
+
+pub fn decode(line: &[u8]) -> Result<Message, Fault> {
+    let value = json::parse(line).map_err(|_| Fault { id: None, kind: FaultKind::NotJson })?;
+    let id = value.get("id").and_then(Value::whole).filter(|id| *id > 0);
+    let fault = |kind| Fault { id, kind };
+    if value.get("jsonrpc").and_then(Value::text) != Some("2.0") {
+        return Err(fault(FaultKind::InvalidRequest));
+    }
+    let method = value.get("method").and_then(Value::text).ok_or(fault(FaultKind::InvalidRequest))?;
+    let params = value.get("params");
+    if method == "revoke" {
+        let named = params.and_then(|p| p.get("id").or(p.list().and_then(|l| l.first())));
+        return named.and_then(Value::whole).map(Message::Revoke).ok_or(fault(FaultKind::InvalidParams));
+    }
+    let id = id.ok_or(fault(FaultKind::InvalidRequest))?;
+    if method == "heartbeat" {
+        return Ok(Message::Heartbeat(id));
+    }
+    let batch = || {
+        let params = params?;
+        let call = params.get("call")?.text()?;
+        let hex = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+        let repeat = match params.get("rep") {
+            None | Some(Value::Null) => false,
+            Some(value) => value.whole()? > 0,
+        };
+        Some(Batch {
+            id,
+            method: method.to_owned(),
+            call: (call.len() == 16 && call.bytes().all(hex)).then(|| call.to_owned())?,
+            ttl_ms: params.get("ttl")?.whole()?,
+            repeat,
+            statement: STANDARD.decode(params.get("data")?.text()?).ok()?,
+        })
+    };
+    batch().map(Message::Batch).ok_or(fault(FaultKind::InvalidParams))
+}
+
+/// All rows of a result.
+pub fn result(id: u64, rows: &[u8]) -> String {
+    format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"data\":\"{}\"}}}}\n", STANDARD.encode(rows))
+}
+
+/// Trying again is harmless, after `come_back_ms` where that is said.
+pub fn pushed_back(id: u64, come_back_ms: Option<u64>) -> String {
+    let data = come_back_ms.map_or(String::new(), |ms| format!(",\"data\":{{\"pushback\":{ms}}}"));
+    error(Some(id), -32002, "pushed back", &data)
+}
+
+pub fn errored(id: u64) -> String {
+    error(Some(id), -32000, "errored", "")
+}
+
+pub fn fault(fault: &Fault) -> String {
+    let (code, message) = match fault.kind {
+        FaultKind::NotJson => (-32700, "Parse error"),
+        FaultKind::InvalidRequest => (-32600, "Invalid Request"),
+        FaultKind::UnknownMethod => (-32601, "Method not found"),
+        FaultKind::InvalidParams => (-32602, "Invalid params"),
+    };
+    error(fault.id, code, message, "")
+}
+
+pub fn heartbeat(id: u64, fit: bool) -> String {
+    format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"result\":{{\"fit\":{fit}}}}}\n")
+}
+
+fn error(id: Option<u64>, code: i32, message: &str, data: &str) -> String {
+    let id = id.map_or("null".to_owned(), |id| id.to_string());
+    let message = json::quoted(message);
+    format!("{{\"jsonrpc\":\"2.0\",\"id\":{id},\"error\":{{\"code\":{code},\"message\":{message}{data}}}}}\n")
+}
--- /dev/null
+++ b/crates/front/src/protocol/json.rs
@@ -0,0 +1,303 @@
+//! A bounded JSON reader, and the one thing that has to be written with care: a string.
+
+use std::fmt;
+
+const DEEPEST: usize = 16;
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Value {
+    Null,
+    Bool(bool),
+    Number(f64),
+    Text(String),
+    List(Vec<Value>),
+    Object(Vec<(String, Value)>),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Malformed {
+    /// The byte at which the text stops being JSON.
+    pub at: usize,
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "not JSON from byte {} on", self.at)
+    }
+}
+
+impl Value {
+    /// A member of an object; of members with one name, the last.
+    pub fn get(&self, name: &str) -> Option<&Value> {
+        match self {
+            Value::Object(members) => members.iter().rev().find(|(n, _)| n == name).map(|(_, v)| v),
+            _ => None,
+        }
+    }
+
+    pub fn text(&self) -> Option<&str> {
+        if let Value::Text(text) = self { Some(text) } else { None }
+    }
+
+    /// A whole number that a double holds exactly.
+    pub fn whole(&self) -> Option<u64> {
+        match self {
+            Value::Number(n) if n.fract() == 0.0 && (0.0..=9_007_199_254_740_991.0).contains(n) => {
+                Some(*n as u64)
+            }
+            _ => None,
+        }
+    }
+
+    pub fn list(&self) -> Option<&[Value]> {
+        if let Value::List(list) = self { Some(list) } else { None }
+    }
+}
+
+/// Reads one value, with nothing but white space round it.
+pub fn parse(bytes: &[u8]) -> Result<Value, Malformed> {
+    let text = std::str::from_utf8(bytes).map_err(|e| Malformed { at: e.valid_up_to() })?;
+    let mut reader = Reader { text, at: 0 };
+    let value = reader.value(DEEPEST)?;
+    reader.space();
+    if reader.at < text.len() { Err(reader.malformed()) } else { Ok(value) }
+}
+
+/// The text as a JSON string, quotes included.
+pub fn quoted(text: &str) -> String {
+    let mut out = String::with_capacity(text.len() + 2);
+    out.push('"');
+    for c in text.chars() {
+        match c {
+            '"' | '\\' => out.extend(['\\', c]),
+            c if c < ' ' => out.push_str(&format!("\\u{:04x}", u32::from(c))),
+            c => out.push(c),
+        }
+    }
+    out.push('"');
+    out
+}
+
+struct Reader<'a> {
+    text: &'a str,
+    at: usize,
+}
+
+impl Reader<'_> {
+    fn malformed(&self) -> Malformed {
+        Malformed { at: self.at }
+    }
+
+    fn peek(&self) -> Option<u8> {
+        self.text.as_bytes().get(self.at).copied()
+    }
+
+    fn space(&mut self) {
+        while matches!(self.peek(), Some(b' ' | b'\t' | b'\n' | b'\r')) {
+            self.at += 1;
+        }
+    }
+
+    fn take(&mut self, wanted: &str) -> Result<(), Malformed> {
+        let found = self.text[self.at..].starts_with(wanted);
+        if found {
+            self.at += wanted.len();
+        }
+        found.then_some(()).ok_or(self.malformed())
+    }
+
+    fn value(&mut self, deeper: usize) -> Result<Value, Malformed> {
+        self.space();
+        let deeper = deeper.checked_sub(1).ok_or(self.malformed())?;
+        match self.peek() {
+            Some(b'n') => self.take("null").map(|()| Value::Null),
+            Some(b't') => self.take("true").map(|()| Value::Bool(true)),
+            Some(b'f') => self.take("false").map(|()| Value::Bool(false)),
+            Some(b'"') => self.string().map(Value::Text),
+            Some(b'[') => {
+                let mut list = Vec::new();
+                self.members(b']', |reader| {
+                    list.push(reader.value(deeper)?);
+                    Ok(())
+                })?;
+                Ok(Value::List(list))
+            }
+            Some(b'{') => {
+                let mut members = Vec::new();
+                self.members(b'}', |reader| {
+                    let name = reader.string()?;
+                    reader.space();
+                    reader.take(":")?;
+                    members.push((name, reader.value(deeper)?));
+                    Ok(())
+                })?;
+                Ok(Value::Object(members))
+            }
+            _ => self.number(),
+        }
+    }
+
+    /// What stands between brackets, with commas between.
+    fn members(
+        &mut self,
+        end: u8,
+        mut member: impl FnMut(&mut Self) -> Result<(), Malformed>,
+    ) -> Result<(), Malformed> {
+        self.at += 1;
+        self.space();
+        if self.peek() == Some(end) {
+            self.at += 1;
+            return Ok(());
+        }
+        loop {
+            self.space();
+            member(self)?;
+            self.space();
+            match self.peek() {
+                Some(b',') => self.at += 1,
+                Some(c) if c == end => {
+                    self.at += 1;
+                    return Ok(());
+                }
+                _ => return Err(self.malformed()),
+            }
+        }
+    }
+
+    fn number(&mut self) -> Result<Value, Malformed> {
+        let start = self.at;
+        let digits = |reader: &mut Self| {
+            let from = reader.at;
+            while matches!(reader.peek(), Some(b'0'..=b'9')) {
+                reader.at += 1;
+            }
+            if reader.at == from { Err(reader.malformed()) } else { Ok(()) }
+        };
+        if self.peek() == Some(b'-') {
+            self.at += 1;
+        }
+        if self.peek() == Some(b'0') {
+            self.at += 1;
+        } else {
+            digits(self)?;
+        }
+        if self.peek() == Some(b'.') {
+            self.at += 1;
+            digits(self)?;
+        }
+        if matches!(self.peek(), Some(b'e' | b'E')) {
+            self.at += 1;
+            if matches!(self.peek(), Some(b'+' | b'-')) {
+                self.at += 1;
+            }
+            digits(self)?;
+        }
+        self.text[start..self.at].parse().map(Value::Number).map_err(|_| Malformed { at: start })
+    }
+
+    fn string(&mut self) -> Result<String, Malformed> {
+        self.take("\"")?;
+        let mut out = String::new();
+        loop {
+            let rest = &self.text[self.at..];
+            let plain = rest.find(|c| c == '"' || c == '\\' || c < ' ').ok_or(self.malformed())?;
+            out.push_str(&rest[..plain]);
+            self.at += plain;
+            match self.peek() {
+                Some(b'"') => {
+                    self.at += 1;
+                    return Ok(out);
+                }
+                Some(b'\\') => {
+                    self.at += 1;
+                    out.push(self.escape()?);
+                }
+                _ => return Err(self.malformed()),
+            }
+        }
+    }
+
+    fn escape(&mut self) -> Result<char, Malformed> {
+        let c = self.peek().ok_or(self.malformed())?;
+        let plain = match c {
+            b'"' | b'\\' | b'/' => char::from(c),
+            b'b' => '\u{8}',
+            b'f' => '\u{c}',
+            b'n' => '\n',
+            b'r' => '\r',
+            b't' => '\t',
+            b'u' => return self.unicode(),
+            _ => return Err(self.malformed()),
+        };
+        self.at += 1;
+        Ok(plain)
+    }
+
+    fn unicode(&mut self) -> Result<char, Malformed> {
+        let first = self.unit()?;
+        let code = if (0xd800..0xdc00).contains(&first) {
+            self.take("\\")?;
+            let second = self.unit()?;
+            if !(0xdc00..0xe000).contains(&second) {
+                return Err(self.malformed());
+            }
+            0x10000 + ((first - 0xd800) << 10) + (second - 0xdc00)
+        } else {
+            first
+        };
+        char::from_u32(code).ok_or(self.malformed())
+    }
+
+    /// One `uXXXX`.
+    fn unit(&mut self) -> Result<u32, Malformed> {
+        self.take("u")?;
+        let digits = self.text.get(self.at..self.at + 4).ok_or(self.malformed())?;
+        if !digits.bytes().all(|b| b.is_ascii_hexdigit()) {
+            return Err(self.malformed());
+        }
+        self.at += 4;
+        u32::from_str_radix(digits, 16).map_err(|_| self.malformed())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn reads_values() {
+        let text = br#" {"a":[1,-2.5e1,true,null],"b":"x\"\u00e9\ud83d\ude00\n","a2":{}} "#;
+        let value = parse(text).unwrap();
+        let numbers = vec![Value::Number(1.0), Value::Number(-25.0), Value::Bool(true), Value::Null];
+        assert_eq!(value.get("a"), Some(&Value::List(numbers)));
+        assert_eq!(value.get("b").and_then(Value::text), Some("x\"é😀\n"));
+        assert_eq!(parse(quoted("x\"é😀\n\\").as_bytes()), Ok(Value::Text("x\"é😀\n\\".into())));
+    }
+
+    #[test]
+    fn turns_away_what_is_not_json() {
+        let deep = "[".repeat(DEEPEST + 1) + &"]".repeat(DEEPEST + 1);
+        for text in [
+            "",
+            "{",
+            "[1,]",
+            "{\"a\"}",
+            "{\"a\":1,}",
+            "01",
+            "1.",
+            "+1",
+            "nul",
+            "\"a",
+            "\"\\x\"",
+            "1 2",
+            "--1",
+            "\"\\ud800\"",
+            "\"\\u12é4\"",
+            "\"a\nb\"",
+            deep.as_str(),
+        ] {
+            assert!(parse(text.as_bytes()).is_err(), "{text}");
+        }
+        assert!(parse(b"\"\xff\"").is_err());
+    }
+}
--- /dev/null
+++ b/crates/front/src/routing/counters.rs
@@ -0,0 +1,102 @@
+use lemonusher::Outcome;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// What is counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    Taken,
+    Dispatched,
+    Returned,
+    PushedBack,
+    Errored,
+    Left,
+    Cancelled,
+    Moved,
+    Outcome(&'static str),
+    Probed,
+    ProbeFailed,
+    Connections,
+    Refused,
+    Engines,
+    ChannelEvents,
+    Panics,
+}
+
+/// Counts since the start, by service group where that applies.
+#[derive(Default)]
+pub struct Counters {
+    names: Vec<String>,
+    counts: RefCell<BTreeMap<(Kind, Option<usize>), u64>>,
+}
+
+impl Counters {
+    pub fn new(service_groups: Vec<String>) -> Self {
+        Counters { names: service_groups, counts: RefCell::default() }
+    }
+
+    pub fn add(&self, kind: Kind, service_group: Option<usize>) {
+        *self.counts.borrow_mut().entry((kind, service_group)).or_default() += 1;
+    }
+
+    pub fn get(&self, kind: Kind) -> u64 {
+        self.counts.borrow().iter().filter(|((k, _), _)| *k == kind).map(|(_, n)| n).sum()
+    }
+}
+
+impl fmt::Display for Counters {
+    /// One line: `taken look-up=12 report=3; ...`.
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let mut last = None;
+        for ((kind, group), count) in &*self.counts.borrow() {
+            if last != Some(*kind) {
+                let gap = if last.is_some() { "; " } else { "" };
+                write!(f, "{gap}{kind}")?;
+                last = Some(*kind);
+            }
+            match group.and_then(|g| self.names.get(g)) {
+                Some(name) => write!(f, " {name}={count}")?,
+                None => write!(f, " {count}")?,
+            }
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            Kind::Taken => "taken",
+            Kind::Dispatched => "dispatched",
+            Kind::Returned => "returned",
+            Kind::PushedBack => "pushed back",
+            Kind::Errored => "errored",
+            Kind::Left => "left",
+            Kind::Cancelled => "cancels",
+            Kind::Moved => "further dispatches",
+            Kind::Outcome(name) => return write!(f, "dispatch ended {name}"),
+            Kind::Probed => "probes",
+            Kind::ProbeFailed => "probes failed",
+            Kind::Connections => "client connections",
+            Kind::Refused => "faulty requests",
+            Kind::Engines => "engine connections",
+            Kind::ChannelEvents => "channel events",
+            Kind::Panics => "panics",
+        })
+    }
+}
+
+/// An outcome's name in counts and log lines.
+pub fn name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Returned => "returned",
+        Outcome::Errored => "errored",
+        Outcome::Full => "full",
+        Outcome::TimedOut => "timed out",
+        Outcome::NoConnection => "no connection",
+        Outcome::Reset => "reset",
+        Outcome::Cancelled => "cancelled",
+        Outcome::NotSent => "not sent",
+    }
+}
--- /dev/null
+++ b/crates/front/src/routing/mod.rs
@@ -0,0 +1,114 @@
+//! The one task that owns the gateway. What sockets have heard reaches it by a bounded queue; it tells the
+//! gateway, lets it decide, and carries out what it wants. It decides nothing itself and names no protocol.
+
+mod clock;
+mod counters;
+mod owner;
+
+pub use clock::Clock;
+pub use counters::{Counters, Kind};
+pub use owner::{Limits, Owner};
+
+use lemonusher::{BatchId, Cost, EngineId, EngineState, LoadReport, Note, Outcome, RosterKind};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Number of a dispatch or probe, new for each.
+pub type Token = u64;
+
+/// Where the answer to a batch goes.
+pub trait Asker {
+    /// Gives the one final answer to what came under this ticket.
+    fn answer(&self, ticket: u64, answer: Answer);
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    Returned(Vec<u8>),
+    PushedBack(Option<Duration>),
+    Errored,
+}
+
+/// A batch as its client sent it.
+pub struct Taken {
+    pub asker: Rc<dyn Asker>,
+    pub ticket: u64,
+    pub batch: BatchId,
+    pub service_group: usize,
+    pub table_group: u64,
+    pub patience: Duration,
+    pub repeat: bool,
+    pub statement: Rc<[u8]>,
+}
+
+/// An engine as the list names it.
+#[derive(Debug, Clone)]
+pub struct Listed {
+    pub engine: EngineId,
+    pub address: SocketAddr,
+    pub location: u32,
+    pub kind: u32,
+    pub cell: u32,
+    pub state: EngineState,
+    /// Unix time of a late start.
+    pub started: Option<Duration>,
+}
+
+/// What the owner hears.
+pub enum Heard {
+    Taken(Taken),
+    /// Who asked for this batch under this ticket no longer waits.
+    Left {
+        asker: Rc<dyn Asker>,
+        ticket: u64,
+        batch: BatchId,
+    },
+    Roster(RosterKind, Vec<Listed>),
+    /// The one outcome of a dispatch; what it returned, if it did.
+    Ended {
+        token: Token,
+        outcome: Outcome,
+        cost: Option<Cost>,
+        load: Option<LoadReport>,
+        rows: Vec<u8>,
+    },
+    Noted {
+        token: Token,
+        note: Note,
+    },
+    /// The one outcome of a probe.
+    Probed {
+        token: Token,
+        answered: bool,
+        load: Option<LoadReport>,
+    },
+    /// The front has been told to end: all is to be answered within this time.
+    Closing(Duration),
+}
+
+/// What the owner wants of the engines' side.
+#[derive(Debug, Clone)]
+pub enum Order {
+    Roster(RosterKind, Vec<Listed>),
+    Dispatch {
+        token: Token,
+        engine: EngineId,
+        batch: BatchId,
+        service_group: usize,
+        statement: Rc<[u8]>,
+        patience: Duration,
+        priority: u8,
+        memory_mb: f64,
+    },
+    Weigh {
+        token: Token,
+        priority: u8,
+    },
+    /// Gives a dispatch or probe up.
+    Cancel(Token),
+    Probe {
+        token: Token,
+        engine: EngineId,
+    },
+}
--- /dev/null
+++ b/crates/front/src/routing/owner.rs
@@ -0,0 +1,446 @@
+use super::counters::name;
+use super::{Answer, Asker, Clock, Counters, Heard, Kind, Listed, Order, Taken, Token};
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::FutureExt;
+use lemonusher::{
+    Action, Arrival, BatchId, Deployment, Ending, EngineEntry, EngineId, Event, Gateway, Outcome, RosterKind,
+};
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Events heard in one turn before the gateway decides.
+const MOST_IN_A_TURN: usize = 1024;
+
+/// What the owner may hold.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Batches open at once; further ones are pushed back unseen.
+    pub open: usize,
+    /// Bytes of statements held at once.
+    pub bytes: usize,
+    /// A probe without an answer in this time has failed.
+    pub probe: Duration,
+}
+
+struct Held {
+    asker: Rc<dyn Asker>,
+    ticket: u64,
+    service_group: usize,
+    statement: Rc<[u8]>,
+    limit: Duration,
+    priority: u8,
+    memory_mb: f64,
+    dispatches: u32,
+}
+
+struct Flight {
+    batch: BatchId,
+    service_group: usize,
+    number: u32,
+    engine: EngineId,
+    at: Duration,
+    until: Duration,
+    priority: u8,
+}
+
+/// Owns the gateway, the clock and the tables of batches and dispatches.
+pub struct Owner {
+    stated: Deployment,
+    gateway: Gateway,
+    clock: Clock,
+    limits: Limits,
+    orders: Sender<Order>,
+    counters: Rc<Counters>,
+    /// Batches that are owed an answer, shared with what waits for the end.
+    open: Rc<Cell<usize>>,
+    batches: BTreeMap<BatchId, Held>,
+    bytes: usize,
+    flights: BTreeMap<Token, Flight>,
+    probes: BTreeMap<Token, (EngineId, Duration)>,
+    due: BTreeSet<(Duration, Token)>,
+    wakes: BTreeSet<Duration>,
+    next: Token,
+    listed: BTreeMap<EngineId, EngineEntry>,
+    /// What the carrying out of actions has brought; heard in the next turn.
+    at_once: VecDeque<Heard>,
+}
+
+impl Owner {
+    pub fn new(
+        stated: Deployment,
+        seed: u64,
+        clock: Clock,
+        limits: Limits,
+        orders: Sender<Order>,
+        counters: Rc<Counters>,
+    ) -> Self {
+        Owner {
+            gateway: Gateway::new(stated.clone(), seed),
+            stated,
+            clock,
+            limits,
+            orders,
+            counters,
+            open: Rc::default(),
+            batches: BTreeMap::new(),
+            bytes: 0,
+            flights: BTreeMap::new(),
+            probes: BTreeMap::new(),
+            due: BTreeSet::new(),
+            wakes: BTreeSet::new(),
+            next: 0,
+            listed: BTreeMap::new(),
+            at_once: VecDeque::new(),
+        }
+    }
+
+    /// How many batches are owed an answer.
+    pub fn open(&self) -> Rc<Cell<usize>> {
+        self.open.clone()
+    }
+
+    /// Runs until the queue is closed.
+    pub async fn run(mut self, queue: Receiver<Heard>) {
+        loop {
+            let mut first = None;
+            if self.at_once.is_empty() {
+                match self.wait(&queue).await {
+                    Some(Ok(heard)) => first = Some(heard),
+                    Some(Err(_)) => return,
+                    None => {}
+                }
+            }
+            let mut turn: Vec<Heard> = self.at_once.drain(..).chain(first).collect();
+            while turn.len() < MOST_IN_A_TURN
+                && let Ok(heard) = queue.try_recv()
+            {
+                turn.push(heard);
+            }
+            let now = self.clock.now();
+            if catch_unwind(AssertUnwindSafe(|| self.turn(now, turn))).is_err() {
+                self.start_over(now);
+            }
+            self.open.set(self.batches.len());
+        }
+    }
+
+    /// The next that is heard, or nothing if something is due before.
+    async fn wait(&self, queue: &Receiver<Heard>) -> Option<Result<Heard, async_channel::RecvError>> {
+        let due = self.wakes.first().copied().into_iter().chain(self.due.first().map(|d| d.0)).min();
+        let heard = async { Some(queue.recv().await) };
+        match due {
+            Some(due) => {
+                let at = self.clock.instant(due);
+                let timer = async {
+                    Timer::at(at).await;
+                    None
+                };
+                heard.or(timer).await
+            }
+            None => heard.await,
+        }
+    }
+
+    /// Tells the gateway all that was heard and is due, lets it decide once, and carries that out.
+    fn turn(&mut self, now: Duration, turn: Vec<Heard>) {
+        for heard in turn {
+            self.hear(now, heard);
+        }
+        while let Some((at, token)) = self.due.first().copied().filter(|(at, _)| *at <= now) {
+            self.due.remove(&(at, token));
+            self.order(Order::Cancel(token));
+            let outcome = Outcome::TimedOut;
+            self.hear(now, Heard::Ended { token, outcome, cost: None, load: None, rows: Vec::new() });
+            self.hear(now, Heard::Probed { token, answered: false, load: None });
+        }
+        if self.wakes.first().is_some_and(|at| *at <= now) {
+            self.wakes = self.wakes.split_off(&(now + Duration::from_nanos(1)));
+            self.gateway.hear(now, Event::Woke);
+        }
+        for action in self.gateway.decide(now) {
+            self.carry_out(now, action);
+        }
+    }
+
+    fn hear(&mut self, now: Duration, heard: Heard) {
+        match heard {
+            Heard::Taken(taken) => self.take(now, taken),
+            Heard::Left { asker, ticket, batch } => {
+                let theirs = |held: &&Held| held.ticket == ticket && Rc::ptr_eq(&held.asker, &asker);
+                if let Some(held) = self.batches.get(&batch).filter(theirs) {
+                    self.counters.add(Kind::Left, Some(held.service_group));
+                    self.close(&batch);
+                    self.gateway.hear(now, Event::Left(batch));
+                }
+            }
+            Heard::Roster(kind, listed) => self.hear_roster(now, kind, listed),
+            Heard::Ended { token, outcome, cost, load, rows } => {
+                let Some(flight) = self.flights.remove(&token) else { return };
+                self.due.remove(&(flight.until, token));
+                self.counters.add(Kind::Outcome(name(outcome)), Some(flight.service_group));
+                log::debug!(
+                    "batch {} dispatch {} on engine {:08x} ended {} after {:?}",
+                    flight.batch,
+                    flight.number,
+                    flight.engine,
+                    name(outcome),
+                    now.saturating_sub(flight.at)
+                );
+                if outcome == Outcome::Returned {
+                    self.answer(&flight.batch, Answer::Returned(rows));
+                }
+                let ending = Ending {
+                    over: !self.batches.contains_key(&flight.batch),
+                    batch: flight.batch,
+                    dispatch: flight.number,
+                    engine: flight.engine,
+                    after: now.saturating_sub(flight.at),
+                    outcome,
+                    cost,
+                    load,
+                };
+                self.gateway.hear(now, Event::Ended(ending));
+            }
+            Heard::Noted { token, note } => {
+                let Some(flight) = self.flights.get(&token) else { return };
+                let (batch, dispatch, engine) = (flight.batch.clone(), flight.number, flight.engine);
+                self.gateway.hear(now, Event::Noted { batch, dispatch, engine, note });
+            }
+            Heard::Probed { token, answered, load } => {
+                let Some((engine, at)) = self.probes.remove(&token) else { return };
+                self.due.remove(&(at + self.limits.probe, token));
+                self.counters.add(if answered { Kind::Probed } else { Kind::ProbeFailed }, None);
+                let after = now.saturating_sub(at);
+                self.gateway.hear(now, Event::Probed { engine, answered, after, load });
+            }
+            Heard::Closing(within) => {
+                log::info!("closing: {} batches are to be answered within {within:?}", self.batches.len());
+                self.gateway.hear(now, Event::Closing { by: now + within });
+            }
+        }
+    }
+
+    fn take(&mut self, now: Duration, taken: Taken) {
+        let group = Some(taken.service_group);
+        self.counters.add(Kind::Taken, group);
+        let full =
+            self.batches.len() >= self.limits.open || self.bytes + taken.statement.len() > self.limits.bytes;
+        if full {
+            self.counters.add(Kind::PushedBack, group);
+            return taken.asker.answer(taken.ticket, Answer::PushedBack(None));
+        }
+        if self.batches.contains_key(&taken.batch) || self.flights.values().any(|f| f.batch == taken.batch) {
+            self.counters.add(Kind::Errored, group);
+            return taken.asker.answer(taken.ticket, Answer::Errored);
+        }
+        self.bytes += taken.statement.len();
+        let held = Held {
+            asker: taken.asker,
+            ticket: taken.ticket,
+            service_group: taken.service_group,
+            statement: taken.statement,
+            limit: now + taken.patience,
+            priority: 1,
+            memory_mb: 0.0,
+            dispatches: 0,
+        };
+        self.batches.insert(taken.batch.clone(), held);
+        self.gateway.hear(
+            now,
+            Event::Arrived(Arrival {
+                batch: taken.batch,
+                service_group: taken.service_group,
+                table_group: taken.table_group,
+                key: None,
+                patience: taken.patience,
+                work: None,
+                memory_mb: 0.0,
+                repeat: taken.repeat,
+            }),
+        );
+    }
+
+    fn hear_roster(&mut self, now: Duration, kind: RosterKind, listed: Vec<Listed>) {
+        self.counters.add(Kind::ChannelEvents, None);
+        if kind != RosterKind::Changes {
+            self.listed.clear();
+        }
+        let entries: Vec<EngineEntry> = listed
+            .iter()
+            .map(|one| EngineEntry {
+                engine: one.engine,
+                location: one.location,
+                cell: one.cell,
+                kind: one.kind,
+                state: one.state,
+                started: one.started.map_or(Duration::ZERO, |unix| self.clock.of_unix(unix)),
+            })
+            .collect();
+        for entry in &entries {
+            log::info!(
+                "engine {:08x} is {:?} in location {}, started {:?} ago",
+                entry.engine,
+                entry.state,
+                entry.location,
+                (!entry.started.is_zero()).then(|| now.saturating_sub(entry.started))
+            );
+            self.listed.insert(entry.engine, entry.clone());
+        }
+        self.order(Order::Roster(kind, listed));
+        self.gateway.hear(now, Event::Roster(kind, entries));
+    }
+
+    fn carry_out(&mut self, now: Duration, action: Action) {
+        match action {
+            Action::Rank { batch, priority, memory_mb } => {
+                let Some(held) = self.batches.get_mut(&batch) else { return };
+                (held.priority, held.memory_mb) = (priority, memory_mb);
+                let out: Vec<Token> = (self.flights.iter_mut())
+                    .filter(|(_, f)| f.batch == batch && f.priority != priority)
+                    .map(|(token, flight)| {
+                        flight.priority = priority;
+                        *token
+                    })
+                    .collect();
+                for token in out {
+                    self.order(Order::Weigh { token, priority });
+                }
+            }
+            Action::Dispatch { batch, engine, time_out } => self.dispatch(now, batch, engine, time_out),
+            Action::Cancel { batch, dispatch } => {
+                let flight = self.flights.iter().find(|(_, f)| f.batch == batch && f.number == dispatch);
+                if let Some((token, flight)) = flight.map(|(t, f)| (*t, f)) {
+                    self.counters.add(Kind::Cancelled, Some(flight.service_group));
+                    self.order(Order::Cancel(token));
+                }
+            }
+            Action::PushBack { batch, come_back } => self.answer(&batch, Answer::PushedBack(come_back)),
+            Action::Error { batch } => self.answer(&batch, Answer::Errored),
+            Action::Wake { at } => {
+                self.wakes.insert(at);
+            }
+            Action::Probe { engine } => {
+                let token = self.token();
+                self.probes.insert(token, (engine, now));
+                self.due.insert((now + self.limits.probe, token));
+                self.order(Order::Probe { token, engine });
+            }
+            Action::Follow => {} // The channel brings all changes anyway.
+        }
+    }
+
+    fn dispatch(&mut self, now: Duration, batch: BatchId, engine: EngineId, time_out: Duration) {
+        let token = self.token();
+        let Some(held) = self.batches.get_mut(&batch) else { return };
+        let until = if time_out.is_zero() { held.limit } else { held.limit.min(now + time_out) };
+        self.counters.add(Kind::Dispatched, Some(held.service_group));
+        if held.dispatches > 0 {
+            self.counters.add(Kind::Moved, Some(held.service_group));
+        }
+        let order = Order::Dispatch {
+            token,
+            engine,
+            batch: batch.clone(),
+            service_group: held.service_group,
+            statement: held.statement.clone(),
+            patience: until.saturating_sub(now),
+            priority: held.priority,
+            memory_mb: held.memory_mb,
+        };
+        let flight = Flight {
+            batch,
+            service_group: held.service_group,
+            number: held.dispatches,
+            engine,
+            at: now,
+            until,
+            priority: held.priority,
+        };
+        held.dispatches += 1;
+        self.flights.insert(token, flight);
+        self.due.insert((until, token));
+        self.order(order);
+    }
+
+    fn token(&mut self) -> Token {
+        self.next += 1;
+        self.next
+    }
+
+    /// Hands an order to the engines' side. One that it can't take is over at once: nothing was sent.
+    fn order(&mut self, order: Order) {
+        let Err(refused) = self.orders.try_send(order) else { return };
+        match refused.into_inner() {
+            Order::Dispatch { token, .. } => {
+                let outcome = Outcome::NoConnection;
+                self.at_once.push_back(Heard::Ended {
+                    token,
+                    outcome,
+                    cost: None,
+                    load: None,
+                    rows: Vec::new(),
+                });
+            }
+            Order::Probe { token, .. } => {
+                self.at_once.push_back(Heard::Probed { token, answered: false, load: None });
+            }
+            Order::Cancel(token) => {
+                let outcome = Outcome::Cancelled;
+                self.at_once.push_back(Heard::Ended {
+                    token,
+                    outcome,
+                    cost: None,
+                    load: None,
+                    rows: Vec::new(),
+                });
+            }
+            Order::Weigh { .. } | Order::Roster(..) => log::warn!("the engines' side takes no more orders"),
+        }
+    }
+
+    fn answer(&mut self, batch: &BatchId, answer: Answer) {
+        let Some(held) = self.close(batch) else { return };
+        let kind = match &answer {
+            Answer::Returned(_) => Kind::Returned,
+            Answer::PushedBack(_) => Kind::PushedBack,
+            Answer::Errored => Kind::Errored,
+        };
+        self.counters.add(kind, Some(held.service_group));
+        log::debug!("batch {batch} {kind}");
+        held.asker.answer(held.ticket, answer);
+    }
+
+    /// The batch is owed nothing more; what is out of it still has its outcomes.
+    fn close(&mut self, batch: &BatchId) -> Option<Held> {
+        let held = self.batches.remove(batch)?;
+        self.bytes -= held.statement.len();
+        Some(held)
+    }
+
+    /// After a panic in the gateway: what it held is errored, which promises nothing, and a new one is told
+    /// the list.
+    fn start_over(&mut self, now: Duration) {
+        self.counters.add(Kind::Panics, None);
+        log::error!("the gateway panicked: {} batches are errored, and it starts over", self.batches.len());
+        let open: Vec<BatchId> = self.batches.keys().cloned().collect();
+        for batch in open {
+            self.answer(&batch, Answer::Errored);
+        }
+        let out: Vec<Token> = self.flights.keys().chain(self.probes.keys()).copied().collect();
+        for token in out {
+            self.order(Order::Cancel(token));
+        }
+        self.flights.clear();
+        self.probes.clear();
+        self.due.clear();
+        self.wakes.clear();
+        self.gateway = Gateway::new(self.stated.clone(), now.as_nanos() as u64);
+        let entries = self.listed.values().cloned().collect();
+        self.gateway.hear(now, Event::Roster(RosterKind::Full, entries));
+        self.wakes.insert(now);
+    }
+}
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -6,6 +6,7 @@
 mod wire;
 
 use lemonusher::{Action, Event, Gateway, RosterKind};
+use lemonusher_stated::{deployment, span};
 use serde::de::IgnoredAny;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufRead, Write};
@@ -61,7 +62,7 @@
 
 impl Host {
     fn play(&mut self, frame: &Frame) -> Result<Reply, String> {
-        let now = translate::span(frame.now_us);
+        let now = span(frame.now_us);
         for raw in &frame.msgs {
             match serde_json::from_str::<Msg>(raw.get()) {
                 Ok(msg) => self.hear(now, msg),
@@ -87,7 +88,7 @@
     fn hear(&mut self, now: Duration, msg: Msg) {
         match msg {
             Msg::POWER_ON { front_id, rng_seed, settings } => {
-                let gateway = Gateway::new(translate::deployment(&settings), rng_seed);
+                let gateway = Gateway::new(deployment(&settings), rng_seed);
                 self.instances.insert(front_id, Instance { gateway, reading: Reading::of(&settings) });
                 self.heard.insert(front_id);
             }
@@ -131,7 +132,7 @@
             Msg::HEALTH { front_id, cost_time_us, code, engine, gauge } => {
                 self.tell(now, front_id, |reading| {
                     let answered = code == wire::Code::Done;
-                    let after = translate::span(cost_time_us);
+                    let after = span(cost_time_us);
                     Some(Event::Probed { engine, answered, after, load: reading.gauge(gauge) })
                 })
             }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,5 +1,6 @@
 //! The bench wire as serde types, in the wire's own words.
 
+use lemonusher_stated::Settled;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
@@ -169,117 +170,6 @@
     pub engine: u32,
 }
 
-#[derive(Deserialize)]
-pub struct Settled {
-    pub balancers: u32,
-    #[serde(default)]
-    pub my_number: u32,
-    #[serde(default)]
-    pub zone: u32,
-    pub tick_us: u64,
-    pub ceilings: Ceilings,
-    pub classes: Vec<Class>,
-    #[serde(default)]
-    pub client_habits: Habits,
-    pub discovery: String,
-    pub family_info: Family,
-    pub obligations: Obligations,
-    #[serde(default)]
-    pub report: Report,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Habits {
-    pub marks_retry: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Ceilings {
-    pub cancel: bool,
-    pub connect_timeout_us: u64,
-    pub max_attempts: u32,
-    pub max_retry_after_us: u64,
-    pub peers: bool,
-    pub probes: bool,
-    pub retry_after: bool,
-    pub second_copies: bool,
-}
-
-#[derive(Deserialize)]
-pub struct Class {
-    #[serde(default)]
-    pub aim_stretch: f64,
-    pub aim_us: u64,
-    pub effect: ClassEffect,
-    #[serde(default)]
-    pub group: Group,
-    pub hard_limit_us: u64,
-    #[serde(default)]
-    pub key_ttl_us: u64,
-    #[serde(default)]
-    pub late_value: f64,
-    pub points: f64,
-    #[serde(default)]
-    pub by_arrival: bool,
-    pub areas_open: Option<Vec<u32>>,
-    pub kinds_open: Option<Vec<u32>>,
-}
-
-#[derive(Deserialize, Clone, Copy)]
-#[serde(rename_all = "lowercase")]
-pub enum ClassEffect {
-    Safe,
-    Keyed,
-    Unsafe,
-}
-
-#[derive(Deserialize, Clone, Copy, Default)]
-#[serde(rename_all = "lowercase")]
-pub enum Group {
-    #[default]
-    All,
-    Zone,
-    Cell,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Family {
-    pub class_load: Vec<bool>,
-    pub class_threads: Vec<f64>,
-    pub yields_to_loads: Vec<bool>,
-    pub cpu_of_kind: Vec<f64>,
-    pub memory_by_kind_mb: Vec<f64>,
-    pub lanes_count: bool,
-    pub takes_grants: bool,
-    pub note_period_us: u64,
-    pub says_cost: bool,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Obligations {
-    pub ask_within_us: u64,
-    pub cold_from: f64,
-    pub cold_us: u64,
-    pub drain_grace_us: u64,
-    pub fall_multiple: f64,
-    pub tip_after_us: u64,
-    pub settle_after_doubt_us: u64,
-    pub min_extra: Option<f64>,
-    pub extra_ratio: Option<f64>,
-    pub resend_span_us: Option<u64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-pub struct Report {
-    pub fields: Vec<String>,
-    pub via: String,
-}
-
 #[derive(Serialize)]
 pub enum Cmd {
     RELAY { front_id: u32, call: String, try_for_us: u64, engine: u32 },
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -268,6 +268,10 @@
         from: u32,
         data: String,
     },
+    /// This front has been told to end; what it has not answered by then is lost.
+    Closing {
+        by: Duration,
+    },
     /// A wake-up asked for has come.
     Woke,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -247,8 +247,9 @@
     arrivals: Vec<Duration>, // Arrivals and further dispatches within the budget's span.
     further: Vec<Duration>,
     ask_at: Option<Duration>,
-    longest: Duration,  // Of the time limits.
-    shortest: Duration, // Of the response goals.
+    closing: Option<Duration>, // Told to end: by then all is answered, however far its time limit lies.
+    longest: Duration,         // Of the time limits.
+    shortest: Duration,        // Of the response goals.
 }
 
 fn mix(mut x: u64) -> u64 {
@@ -323,6 +324,7 @@
                 self.hear_load(now, engine, load, Some(after));
             }
             Event::Probed { engine, .. } => self.strike(now, engine),
+            Event::Closing { by } => self.closing = Some(by),
             Event::Message { .. } | Event::Woke => {}
         }
     }
@@ -502,11 +504,8 @@
                 }
             }
             if outcome == Outcome::Returned {
-                row.memory.add(
-                    now,
-                    ending.cost.map_or(0.0, |c| c.memory_mb),
-                    ending.cost.map_or(0.0, |_| 1.0),
-                );
+                let (memory, told) = ending.cost.map_or((0.0, 0.0), |c| (c.memory_mb, 1.0));
+                row.memory.add(now, memory, told);
                 if !batch.overdue {
                     let alone = work.map_or(span, |work| work / row.terms.threads.max(1.0)).max(1e-3);
                     self.strain.add(now, f64::from(u8::from(span > alone * OVERDUE)), 1.0);
@@ -605,7 +604,7 @@
                 continue;
             }
             let row = &self.rows[batch.row];
-            let mut last = batch.limit.saturating_sub(margin);
+            let mut last = batch.limit.min(self.closing.unwrap_or(Duration::MAX)).saturating_sub(margin);
             if batch.out.is_none() {
                 // Guards against queues of what is too late; what waits its turn by key has all of the goal.
                 let share = if batch.key.is_some() { 1.0 } else { START_BY };
