A cancelled dispatch counts as out until its engine has read the cancel

The log at debug showed the batch dispatched, cancelled after 337 ms, and dispatched again at once to the same engine; 1 of 345 such pairs broke the rule, so ruled out: a cancel that was never written, and a dispatch sent before its cancel. An id never goes twice over one connection, so the second dispatch took another one, and connections are not alike in speed: the dispatch overtook the cancel. At fault: engines.rs, cancel(), which told the gateway 'cancelled' when the system had taken the bytes.

Now a read of a page goes behind the cancel; the engine answers it with FAULT once it knows the query no more, and only then (or after a connect time-out without a sign) is the dispatch told as cancelled. An answer that crosses the cancel still counts.

--- a/crates/front/src/program/engines.rs
+++ b/crates/front/src/program/engines.rs
@@ -57,6 +57,8 @@
 enum OutKind {
     Probe,
     Batch(Option<Pages>),
+    /// Cancelled at this time; it counts as out until the engine is known to have read the cancel.
+    GivenUp(Instant),
 }
 
 /// A result of several pages that has begun to come.
@@ -68,13 +70,6 @@
     load: Option<LoadReport>,
 }
 
-/// A cancel that waits to be handed over.
-struct GivingUp {
-    token: Token,
-    end: u64,
-    cancel_end: u64,
-}
-
 struct Link {
     shared: Rc<Shared>,
     engine: EngineId,
@@ -82,7 +77,6 @@
     out: RefCell<BTreeMap<Arc<str>, Out>>,
     /// Ids that were ever out here: none is sent twice, so that no answer is taken for another's.
     carried: RefCell<BTreeSet<Arc<str>>>,
-    giving_up: RefCell<Vec<GivingUp>>,
     /// It takes nothing new, and ends once nothing is out.
     retired: Cell<bool>,
     heard: Cell<Instant>,
@@ -126,6 +120,10 @@
         for link in links {
             let waits = !link.out.borrow().is_empty();
             let since = link.heard.get().max(link.used.get()).elapsed();
+            for token in link.unconfirmed(engines.shared.connect_timeout) {
+                engines.places.borrow_mut().remove(&token);
+                let _ = engines.shared.queue.send(ended(token, Outcome::Cancelled)).await;
+            }
             if (waits && !period.is_zero() && since > quiet) || (!waits && idle > period && since > idle) {
                 link.retire();
             }
@@ -237,7 +235,7 @@
     }
 
     async fn cancel(&self, token: Token) {
-        let Some((link, id)) = self.places.borrow_mut().remove(&token) else {
+        let Some((link, id)) = self.places.borrow().get(&token).cloned() else {
             // It may still wait for a connection: then nothing was sent.
             let waited = self.pools.borrow_mut().values_mut().find_map(|pool| {
                 let place = pool.waiting.iter().position(|order| order.token() == Some(token))?;
@@ -248,24 +246,9 @@
             }
             return;
         };
-        let out = link.out.borrow_mut().remove(&id);
-        let Some(out) = out else { return };
-        let message = match out.kind {
-            OutKind::Probe => return link.settle(),
-            OutKind::Batch(None) => engine::cancel(&id),
-            OutKind::Batch(Some(_)) => engine::release(&id),
-        };
-        match link.outbox.push(message.as_bytes()) {
-            Ok(cancel_end) => {
-                link.giving_up.borrow_mut().push(GivingUp { token, end: out.end, cancel_end });
-                link.given_up().await;
-            }
-            Err(_) => {
-                let how_far =
-                    if link.outbox.written() < out.end { HowFar::NotWhollySent } else { HowFar::Sent };
-                link.outbox.close();
-                let _ = link.shared.queue.send(ended(token, how_far.outcome())).await;
-            }
+        if let Some(outcome) = link.give_up(&id) {
+            self.places.borrow_mut().remove(&token);
+            let _ = self.shared.queue.send(ended(token, outcome)).await;
         }
         link.settle();
     }
@@ -329,7 +312,6 @@
             outbox: Outbox::new(wire, OUTBOX),
             out: RefCell::default(),
             carried: RefCell::default(),
-            giving_up: RefCell::default(),
             retired: Cell::new(false),
             heard: Cell::new(Instant::now()),
             used: Cell::new(Instant::now()),
@@ -370,18 +352,8 @@
             }
         };
         let write = async {
-            let (moved, steps) = async_channel::bounded(1);
-            let run = async {
-                let end = link.outbox.run(self.shared.connect_timeout * 4, || drop(moved.try_send(()))).await;
-                end.err().map(|e| e.to_string())
-            };
-            let given_up = async {
-                while steps.recv().await.is_ok() {
-                    link.given_up().await;
-                }
-                None
-            };
-            run.or(given_up).await
+            let end = link.outbox.run(self.shared.connect_timeout * 4, || {}).await;
+            end.err().map(|e| e.to_string())
         };
         read.or(write).await
     }
@@ -412,14 +384,10 @@
             let heard = match out.kind {
                 OutKind::Probe => Heard::Probed { token: out.token, answered: false, load: None },
                 OutKind::Batch(Some(_)) => ended(out.token, HowFar::Answering.outcome()),
-                OutKind::Batch(None) => ended(out.token, sent(out.end).outcome()),
+                OutKind::Batch(None) | OutKind::GivenUp(_) => ended(out.token, sent(out.end).outcome()),
             };
             let _ = self.shared.queue.send(heard).await;
         }
-        let giving_up = std::mem::take(&mut *link.giving_up.borrow_mut());
-        for one in giving_up {
-            let _ = self.shared.queue.send(ended(one.token, sent(one.end).outcome())).await;
-        }
     }
 }
 
@@ -475,22 +443,50 @@
 
     /// A retired connection closes once nothing is out on it.
     fn settle(&self) {
-        if self.retired.get() && self.out.borrow().is_empty() && self.giving_up.borrow().is_empty() {
+        if self.retired.get() && self.out.borrow().is_empty() {
             self.outbox.close();
         }
     }
 
-    /// Cancels that the system has taken whole.
-    async fn given_up(&self) {
-        let written = self.outbox.written();
-        let taken: Vec<GivingUp> = {
-            let mut giving_up = self.giving_up.borrow_mut();
-            giving_up.extract_if(.., |one| one.cancel_end <= written).collect()
+    /// Cancels what is out, and asks for a page of it: the engine answers that it knows of no such thing once
+    /// it has read the cancel. Until then the batch may not be out elsewhere, on whatever connection, as
+    /// connections are not all alike in speed. Yields an outcome that is known at once.
+    fn give_up(&self, id: &Arc<str>) -> Option<Outcome> {
+        let mut all = self.out.borrow_mut();
+        let out = all.get_mut(id)?;
+        let (message, next) = match out.kind {
+            OutKind::GivenUp(_) => return None,
+            // Nothing tells of these but their answer.
+            OutKind::Probe => (String::new(), None),
+            // The engine has written its end; only pages are left.
+            OutKind::Batch(Some(_)) => (engine::release(id), None),
+            OutKind::Batch(None) => {
+                (engine::cancel(id) + &engine::read(id, 1), Some(OutKind::GivenUp(Instant::now())))
+            }
         };
-        for one in taken {
-            let _ = self.shared.queue.send(ended(one.token, Outcome::Cancelled)).await;
+        if self.outbox.push(message.as_bytes()).is_err() {
+            self.outbox.close(); // What is out is over by how far it had come.
+            return None;
+        }
+        match next {
+            Some(kind) => {
+                out.kind = kind;
+                None
+            }
+            None => all.remove(id).map(|_| Outcome::Cancelled),
         }
-        self.settle();
+    }
+
+    /// What was cancelled long ago with no sign that the engine has read it: nothing more is known of it, and
+    /// the connection takes nothing new.
+    fn unconfirmed(&self, limit: Duration) -> Vec<Token> {
+        let mut all = self.out.borrow_mut();
+        let late = |out: &Out| matches!(out.kind, OutKind::GivenUp(at) if at.elapsed() > limit);
+        let tokens: Vec<Token> = all.extract_if(.., |_, out| late(out)).map(|(_, out)| out.token).collect();
+        if !tokens.is_empty() {
+            self.retired.set(true);
+        }
+        tokens
     }
 
     /// What an answer means for what is out; an answer that belongs to nothing ends the connection.
@@ -524,14 +520,18 @@
             (OutKind::Batch(_), Word::Info(note)) => {
                 return Ok(note.map(|note| (token, Heard::Noted { token, note: noted(note) })));
             }
-            (OutKind::Batch(None), Word::Shed) => over(Outcome::Full),
-            (OutKind::Batch(None), Word::Late) => over(Outcome::NotSent),
+            (OutKind::GivenUp(_), Word::Info(_)) => return Ok(None),
+            (OutKind::GivenUp(_), Word::Fault | Word::Part { .. }) => over(Outcome::Cancelled),
+            (OutKind::GivenUp(_), Word::Hit { pages, .. }) if pages > 1 => return Ok(None),
+            (OutKind::GivenUp(_), Word::Hit { cost, .. }) => {
+                let (outcome, rows, cost) = (Outcome::Returned, answer.body, cost.map(took));
+                Some((token, Heard::Ended { token, outcome, cost, load, rows }))
+            }
+            (OutKind::Batch(None) | OutKind::GivenUp(_), Word::Shed) => over(Outcome::Full),
+            (OutKind::Batch(None) | OutKind::GivenUp(_), Word::Late) => over(Outcome::NotSent),
             (OutKind::Batch(_), Word::Fault) => over(Outcome::Errored),
             (OutKind::Batch(pages @ None), Word::Hit { pages: count, cost }) => {
-                let cost = cost.map(|(work_ms, memory_mb)| Cost {
-                    work: Duration::from_secs_f64(work_ms.min(1e9) / 1e3),
-                    memory_mb,
-                });
+                let cost = cost.map(took);
                 if count == 1 {
                     let (outcome, rows) = (Outcome::Returned, answer.body);
                     Some((token, Heard::Ended { token, outcome, cost, load, rows }))
@@ -575,6 +575,10 @@
     }
 }
 
+fn took((work_ms, memory_mb): (f64, f64)) -> Cost {
+    Cost { work: Duration::from_secs_f64(work_ms.min(1e9) / 1e3), memory_mb }
+}
+
 fn noted(note: engine::Note) -> Note {
     match note {
         engine::Note::Advance(share) => Note::Progress(share),
--- a/crates/front/src/transport/mod.rs
+++ b/crates/front/src/transport/mod.rs
@@ -3,7 +3,7 @@
 
 mod outbox;
 
-pub use outbox::{Full, Outbox};
+pub use outbox::Outbox;
 
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, FutureExt, Stream, stream};
