--- a/crates/front/src/program/clients.rs
+++ b/crates/front/src/program/clients.rs
@@ -18,7 +18,7 @@
 use std::time::{Duration, Instant};
 
 const MOST_OPEN: usize = 32;
-const OUTBOX: usize = 512 * 1024;
+const OUTBOX: usize = MOST_OPEN * 96 * 1024; // An answer to each open batch fits, however large.
 const STALL: Duration = Duration::from_secs(10); // A client that reads nothing for so long has gone.
 const NO_DESCRIPTOR: Duration = Duration::from_millis(20);
 
@@ -27,7 +27,8 @@
     shared: Rc<Shared>,
     outbox: Outbox,
     open: RefCell<BTreeMap<u64, BatchId>>,
-    counted: Cell<bool>,
+    /// Bytes that wait here, as the sum over all connections has them.
+    counted: Cell<usize>,
     used: Cell<Instant>,
 }
 
@@ -83,7 +84,7 @@
     fn new(shared: Rc<Shared>, wire: Wire) -> Self {
         let outbox = Outbox::new(wire, OUTBOX);
         let used = Cell::new(Instant::now());
-        Session { shared, outbox, open: RefCell::default(), counted: Cell::new(false), used }
+        Session { shared, outbox, open: RefCell::default(), counted: Cell::new(0), used }
     }
 
     async fn serve(self: &Rc<Self>) {
@@ -106,20 +107,14 @@
         for (ticket, batch) in open {
             let _ = self.shared.queue.send(Heard::Left { asker: self.clone(), ticket, batch }).await;
         }
-        if self.counted.replace(false) {
-            self.shared.unwritten.set(self.shared.unwritten.get() - 1);
-        }
+        let unwritten = &self.shared.unwritten;
+        unwritten.set(unwritten.get() - self.counted.replace(0));
     }
 
-    /// Keeps count of the connections on which something waits to be written.
+    /// Keeps the sum of what waits to be written on all connections.
     fn count(&self) {
-        let unwritten = &self.shared.unwritten;
-        let waits = self.outbox.waiting() > 0;
-        match (self.counted.replace(waits), waits) {
-            (false, true) => unwritten.set(unwritten.get() + 1),
-            (true, false) => unwritten.set(unwritten.get() - 1),
-            _ => {}
-        }
+        let (unwritten, waits) = (&self.shared.unwritten, self.outbox.waiting());
+        unwritten.set(unwritten.get() - self.counted.replace(waits) + waits);
     }
 
     async fn read(self: &Rc<Self>) -> Result<(), Broken<std::convert::Infallible>> {
@@ -196,7 +191,10 @@
             return;
         }
         self.used.set(Instant::now());
+        // While clients read too slowly for the memory there is, results give way to errors.
+        let full = self.shared.unwritten.get() > self.shared.most_unwritten;
         self.write(&match answer {
+            Answer::Returned(_) if full => client::errored(ticket),
             Answer::Returned(rows) => client::result(ticket, &rows),
             Answer::PushedBack(wait) => client::pushed_back(ticket, wait.map(|w| w.as_millis() as u64)),
             Answer::Errored => client::errored(ticket),
--- a/crates/front/src/program/engines.rs
+++ b/crates/front/src/program/engines.rs
@@ -79,8 +79,15 @@
     carried: RefCell<BTreeSet<Arc<str>>>,
     /// It takes nothing new, and ends once nothing is out.
     retired: Cell<bool>,
-    heard: Cell<Instant>,
     used: Cell<Instant>,
+    /// When the first message went out since the engine was last heard.
+    asked: Cell<Option<Instant>>,
+}
+
+enum Placed {
+    On(Rc<Link>),
+    Waits,
+    Nowhere,
 }
 
 struct Pool {
@@ -89,14 +96,17 @@
     started: Option<Duration>,
     links: Vec<Rc<Link>>,
     connecting: usize,
-    waiting: Vec<Order>,
+    /// What waits for a connection, and since when.
+    waiting: Vec<(Instant, Order)>,
 }
 
+/// Where a token is out, and under what id.
+type Place = (Rc<Link>, Arc<str>);
+
 struct Engines {
     shared: Rc<Shared>,
     pools: RefCell<BTreeMap<EngineId, Pool>>,
-    /// Where each token is out.
-    places: RefCell<BTreeMap<Token, (Rc<Link>, Arc<str>)>>,
+    places: RefCell<BTreeMap<Token, Place>>,
 }
 
 /// Carries out the owner's orders for as long as the front runs.
@@ -104,7 +114,10 @@
     let engines = Rc::new(Engines { shared, pools: RefCell::default(), places: RefCell::default() });
     engines.shared.executor.spawn(tend(engines.clone())).detach();
     while let Ok(order) = orders.recv().await {
-        engines.take(order).await;
+        if AssertUnwindSafe(engines.take(order)).catch_unwind().await.is_err() {
+            engines.shared.counters.add(Kind::Panics, None);
+            log::error!("an order for the engines panicked");
+        }
     }
 }
 
@@ -118,16 +131,26 @@
         Timer::after(engines.shared.connect_timeout).await;
         let links: Vec<Rc<Link>> = engines.pools.borrow().values().flat_map(|p| p.links.clone()).collect();
         for link in links {
-            let waits = !link.out.borrow().is_empty();
-            let since = link.heard.get().max(link.used.get()).elapsed();
             for token in link.unconfirmed(engines.shared.connect_timeout) {
                 engines.places.borrow_mut().remove(&token);
-                let _ = engines.shared.queue.send(ended(token, Outcome::Cancelled)).await;
+                let _ = engines.shared.queue.send(Heard::ended(token, Outcome::Cancelled)).await;
             }
-            if (waits && !period.is_zero() && since > quiet) || (!waits && idle > period && since > idle) {
+            let silent = link.asked.get().is_some_and(|at| !period.is_zero() && at.elapsed() > quiet);
+            let unused = link.out.borrow().is_empty() && link.used.get().elapsed() > idle;
+            if silent || unused {
                 link.retire();
             }
         }
+        let patience = engines.shared.connect_timeout;
+        let late: Vec<Order> = (engines.pools.borrow_mut().values_mut())
+            .flat_map(|pool| {
+                pool.waiting.extract_if(.., |(at, _)| at.elapsed() > patience).collect::<Vec<_>>()
+            })
+            .map(|(_, order)| order)
+            .collect();
+        for order in late {
+            engines.fail(order, HowFar::NotConnected).await;
+        }
     }
 }
 
@@ -175,27 +198,54 @@
     }
 
     async fn send(self: &Rc<Self>, engine: EngineId, order: Order) {
-        let link = {
-            let mut pools = self.pools.borrow_mut();
-            let Some(pool) = pools.get_mut(&engine).filter(|p| p.state != EngineState::Left) else {
-                drop(pools);
-                return self.fail(order, HowFar::NotConnected).await;
-            };
-            let streams = self.shared.settled.ceilings.streams_per_conn.max(1);
-            let link = pool.free(&order, streams);
-            if link.is_none() && pool.waiting.len() < MOST_WAITING {
-                pool.waiting.push(order.clone());
-            }
-            let free: usize = pool.links.iter().map(|l| l.free(streams)).sum();
-            let wanted = pool.waiting.len() + streams / SPARE_SHARE;
-            if free + pool.connecting * streams < wanted && pool.links.len() < self.shared.per_engine {
-                drop(pools);
-                self.open(engine);
+        let (link, opens) = self.place(engine, &order);
+        if opens {
+            self.open(engine);
+        }
+        match link {
+            Placed::On(link) => self.hand_over(&link, order).await,
+            Placed::Waits => {}
+            Placed::Nowhere => self.fail(order, HowFar::NotConnected).await,
+        }
+    }
+
+    /// Finds a connection for an order or lets it wait for one, and tells whether a further one is wanted.
+    fn place(&self, engine: EngineId, order: &Order) -> (Placed, bool) {
+        let mut pools = self.pools.borrow_mut();
+        let Some(pool) = pools.get_mut(&engine).filter(|p| p.state != EngineState::Left) else {
+            return (Placed::Nowhere, false);
+        };
+        let streams = self.shared.settled.ceilings.streams_per_conn.max(1);
+        let placed = match pool.free(order, streams) {
+            Some(link) => Placed::On(link),
+            None if pool.waiting.len() < MOST_WAITING => {
+                pool.waiting.push((Instant::now(), order.clone()));
+                Placed::Waits
             }
-            link
+            None => Placed::Nowhere,
         };
-        if let Some(link) = link {
-            self.hand_over(&link, order).await;
+        let free: usize = pool.links.iter().map(|l| l.free(streams)).sum();
+        let wanted = pool.waiting.len() + streams / SPARE_SHARE;
+        let opens = free + pool.connecting * streams < wanted
+            && pool.links.len() + pool.connecting < self.shared.per_engine;
+        (placed, opens)
+    }
+
+    /// What waits for a connection to an engine is tried again.
+    async fn send_waiting(self: &Rc<Self>, engine: EngineId) {
+        let streams = self.shared.settled.ceilings.streams_per_conn.max(1);
+        loop {
+            let next = {
+                let mut pools = self.pools.borrow_mut();
+                let Some(pool) = pools.get_mut(&engine) else { return };
+                let free = |(_, order): &(Instant, Order)| pool.free(order, streams).is_some();
+                let Some(place) = pool.waiting.iter().position(free) else { return };
+                let (_, order) = pool.waiting.remove(place);
+                pool.free(&order, streams).map(|link| (link, order))
+            };
+            if let Some((link, order)) = next {
+                self.hand_over(&link, order).await;
+            }
         }
     }
 
@@ -226,6 +276,7 @@
             return self.fail(order, HowFar::NotWhollySent).await;
         };
         link.used.set(Instant::now());
+        link.asked.set(link.asked.get().or(Some(Instant::now())));
         link.carried.borrow_mut().insert(id.clone());
         link.out.borrow_mut().insert(id.clone(), Out { token, end, kind });
         self.places.borrow_mut().insert(token, (link.clone(), id));
@@ -238,8 +289,8 @@
         let Some((link, id)) = self.places.borrow().get(&token).cloned() else {
             // It may still wait for a connection: then nothing was sent.
             let waited = self.pools.borrow_mut().values_mut().find_map(|pool| {
-                let place = pool.waiting.iter().position(|order| order.token() == Some(token))?;
-                Some(pool.waiting.remove(place))
+                let place = pool.waiting.iter().position(|(_, order)| order.token() == Some(token))?;
+                Some(pool.waiting.remove(place).1)
             });
             if let Some(order) = waited {
                 self.end_of(&order, Outcome::NotSent).await;
@@ -248,7 +299,7 @@
         };
         if let Some(outcome) = link.give_up(&id) {
             self.places.borrow_mut().remove(&token);
-            let _ = self.shared.queue.send(ended(token, outcome)).await;
+            let _ = self.shared.queue.send(Heard::ended(token, outcome)).await;
         }
         link.settle();
     }
@@ -260,7 +311,7 @@
 
     async fn end_of(&self, order: &Order, outcome: Outcome) {
         let heard = match order {
-            Order::Dispatch { token, .. } => ended(*token, outcome),
+            Order::Dispatch { token, .. } => Heard::ended(*token, outcome),
             Order::Probe { token, .. } => Heard::Probed { token: *token, answered: false, load: None },
             _ => return,
         };
@@ -295,10 +346,12 @@
     /// No connection came up: what waits for one, with none left to wait for, is over.
     async fn unconnected(&self, engine: EngineId) {
         let waiting = match self.pools.borrow_mut().get_mut(&engine) {
-            Some(pool) if pool.connecting == 0 => std::mem::take(&mut pool.waiting),
+            Some(pool) if pool.connecting == 0 && pool.links.iter().all(|l| l.retired.get()) => {
+                std::mem::take(&mut pool.waiting)
+            }
             _ => Vec::new(),
         };
-        for order in waiting {
+        for (_, order) in waiting {
             self.fail(order, HowFar::NotConnected).await;
         }
     }
@@ -313,19 +366,16 @@
             out: RefCell::default(),
             carried: RefCell::default(),
             retired: Cell::new(false),
-            heard: Cell::new(Instant::now()),
             used: Cell::new(Instant::now()),
+            asked: Cell::new(None),
         });
-        let waiting = match self.pools.borrow_mut().get_mut(&engine) {
+        match self.pools.borrow_mut().get_mut(&engine) {
             Some(pool) if pool.state != EngineState::Left && pool.address == address => {
                 pool.links.push(link.clone());
-                std::mem::take(&mut pool.waiting)
             }
             _ => return,
-        };
-        for order in waiting {
-            self.send(engine, order).await;
         }
+        self.send_waiting(engine).await;
         let end = AssertUnwindSafe(self.converse(&link)).catch_unwind().await;
         link.retired.set(true);
         link.outbox.close();
@@ -344,7 +394,7 @@
         self.broken(&link).await;
     }
 
-    async fn converse(&self, link: &Rc<Link>) -> Option<String> {
+    async fn converse(self: &Rc<Self>, link: &Rc<Link>) -> Option<String> {
         let read = async {
             match self.read(link).await {
                 Ok(()) => None,
@@ -358,16 +408,18 @@
         read.or(write).await
     }
 
-    async fn read(&self, link: &Rc<Link>) -> Result<(), Broken<Malformed>> {
+    async fn read(self: &Rc<Self>, link: &Rc<Link>) -> Result<(), Broken<Malformed>> {
         let mut answers = pin!(transport::messages(link.outbox.wire(), LONGEST_ANSWER, None, engine::cut));
         while let Some(answer) = answers.next().await {
             let answer = answer?;
-            link.heard.set(Instant::now());
+            link.used.set(Instant::now());
+            link.asked.set(None);
             if let Some((token, heard)) = link.hear(answer).map_err(Broken::Bad)? {
                 if !matches!(heard, Heard::Noted { .. }) {
                     self.places.borrow_mut().remove(&token);
                 }
                 let _ = self.shared.queue.send(heard).await;
+                self.send_waiting(link.engine).await;
             }
             link.settle();
         }
@@ -383,18 +435,16 @@
             self.places.borrow_mut().remove(&out.token);
             let heard = match out.kind {
                 OutKind::Probe => Heard::Probed { token: out.token, answered: false, load: None },
-                OutKind::Batch(Some(_)) => ended(out.token, HowFar::Answering.outcome()),
-                OutKind::Batch(None) | OutKind::GivenUp(_) => ended(out.token, sent(out.end).outcome()),
+                OutKind::Batch(Some(_)) => Heard::ended(out.token, HowFar::Answering.outcome()),
+                OutKind::Batch(None) | OutKind::GivenUp(_) => {
+                    Heard::ended(out.token, sent(out.end).outcome())
+                }
             };
             let _ = self.shared.queue.send(heard).await;
         }
     }
 }
 
-fn ended(token: Token, outcome: Outcome) -> Heard {
-    Heard::Ended { token, outcome, cost: None, load: None, rows: Vec::new() }
-}
-
 impl Order {
     fn token(&self) -> Option<Token> {
         match self {
@@ -570,7 +620,6 @@
             _ => return Err(Malformed::Word),
         };
         all.remove(&id);
-        log::trace!("engine {:08x}: {id} is over", self.engine);
         Ok(heard)
     }
 }
--- a/crates/front/src/program/start.rs
+++ b/crates/front/src/program/start.rs
@@ -2,6 +2,7 @@
 
 use super::{channel, clients, engines};
 use crate::protocol;
+use crate::protocol::channel::News;
 use crate::routing::{Clock, Counters, Heard, Limits, Owner};
 use crate::transport;
 use async_executor::LocalExecutor;
@@ -15,7 +16,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 // Facts of the platform, as its pages state them.
 const LONGEST_CLOSING: Duration = Duration::from_millis(3000); // The kill comes this long after the signal,
@@ -26,7 +27,8 @@
 const QUEUE: usize = 4096;
 const BACKLOG: i32 = 4096;
 const CLOSING_MARGIN: Duration = Duration::from_millis(250); // Answers are on their way before the kill.
-const STATEMENT_SHARE: usize = 4; // Part of the memory that statements may take.
+const STATEMENT_SHARE: usize = 4; // Part of the memory that statements may take,
+const ANSWER_SHARE: usize = 4; // and answers that clients are slow to read.
 
 /// The file that `PROXY_CONFIG` names.
 #[derive(Deserialize)]
@@ -76,8 +78,9 @@
     pub queue: async_channel::Sender<Heard>,
     pub executor: Rc<LocalExecutor<'static>>,
     pub closing: std::cell::Cell<bool>,
-    /// Client connections that still have something to write.
+    /// Bytes of answers that wait for clients to read them, and how many may.
     pub unwritten: std::cell::Cell<usize>,
+    pub most_unwritten: usize,
     /// Descriptors that clients may hold, and connections to one engine.
     pub clients: usize,
     pub per_engine: usize,
@@ -100,7 +103,7 @@
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(Unfit::Signals)?;
 
     let longest = stated.service_groups.iter().map(|t| t.time_limit).max().unwrap_or_default();
-    let clock = Clock::starting(stated.duties.cold_for + stated.tick);
+    let clock = Clock::starting(oldest_cold(&known.1, stated.duties.cold_for) + stated.tick);
     let names = told.settings.classes.iter().map(|class| class.name.clone()).collect();
     let counters = Rc::new(Counters::new(names));
     let (queue, heard) = async_channel::bounded(QUEUE);
@@ -120,6 +123,7 @@
         executor: executor.clone(),
         closing: false.into(),
         unwritten: 0.into(),
+        most_unwritten: told.limits.memory_mb * 1024 * 1024 / ANSWER_SHARE,
         clients: third + third / 2,
         per_engine: third / 32,
         connect_timeout: span(told.settings.ceilings.connect_timeout_us),
@@ -149,6 +153,18 @@
     Ok(())
 }
 
+/// How long ago the first of the engines started that are still cold. The clock's origin lies before that, and
+/// no earlier: the gateway's first values fade from the origin on.
+fn oldest_cold(known: &[News], cold_for: Duration) -> Duration {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let members = known.iter().flat_map(|news| match news {
+        News::All(members) | News::Changes(members) => members.as_slice(),
+        News::Nothing => &[],
+    });
+    let ages = members.map(|member| now.saturating_sub(Duration::from_millis(member.started_ms)));
+    ages.filter(|age| *age < cold_for).max().unwrap_or_default()
+}
+
 /// Waits for the signal to end; prints the counters on the other one.
 async fn wait_for_end(mut signals: Signals, counters: &Counters) -> Instant {
     while let Some(signal) = signals.next().await {
--- a/crates/front/src/protocol/client.rs
+++ b/crates/front/src/protocol/client.rs
@@ -45,8 +45,11 @@
     InvalidParams,
 }
 
+/// A line's length, and what it says.
+type Line = (usize, Result<Message, Fault>);
+
 /// Cuts one line off what has come.
-pub fn cut(bytes: &[u8]) -> Result<Option<(usize, Result<Message, Fault>)>, std::convert::Infallible> {
+pub fn cut(bytes: &[u8]) -> Result<Option<Line>, std::convert::Infallible> {
     let end = bytes.iter().position(|b| *b == b'\n');
     Ok(end.map(|end| (end + 1, decode(&bytes[..end]))))
 }
--- a/crates/front/src/routing/clock.rs
+++ b/crates/front/src/routing/clock.rs
@@ -24,8 +24,11 @@
         self.start + span.saturating_sub(self.before)
     }
 
-    /// Zero for what lies before the origin.
-    pub fn of_unix(&self, unix: Duration) -> Duration {
-        unix.saturating_sub(self.unix_origin)
+    /// When an engine started that did so at this Unix time: zero for long ago, else no earlier than the
+    /// origin allows, so that one that is still cold is never taken for warm.
+    pub fn of_start(&self, unix: Duration, now: Duration, cold_for: Duration) -> Duration {
+        let span = unix.saturating_sub(self.unix_origin);
+        let unix_now = self.unix_origin + now;
+        if !span.is_zero() || unix + cold_for <= unix_now { span } else { Duration::from_nanos(1) }
     }
 }
--- a/crates/front/src/routing/counters.rs
+++ b/crates/front/src/routing/counters.rs
@@ -39,10 +39,6 @@
     pub fn add(&self, kind: Kind, service_group: Option<usize>) {
         *self.counts.borrow_mut().entry((kind, service_group)).or_default() += 1;
     }
-
-    pub fn get(&self, kind: Kind) -> u64 {
-        self.counts.borrow().iter().filter(|((k, _), _)| *k == kind).map(|(_, n)| n).sum()
-    }
 }
 
 impl fmt::Display for Counters {
--- a/crates/front/src/routing/mod.rs
+++ b/crates/front/src/routing/mod.rs
@@ -112,3 +112,10 @@
         engine: EngineId,
     },
 }
+
+impl Heard {
+    /// A dispatch that ended without rows.
+    pub fn ended(token: Token, outcome: Outcome) -> Self {
+        Heard::Ended { token, outcome, cost: None, load: None, rows: Vec::new() }
+    }
+}
--- a/crates/front/src/routing/owner.rs
+++ b/crates/front/src/routing/owner.rs
@@ -14,6 +14,8 @@
 
 /// Events heard in one turn before the gateway decides.
 const MOST_IN_A_TURN: usize = 1024;
+/// Orders that wait for the engines' side before dispatches and probes fail.
+const MOST_LATE: usize = 4096;
 
 /// What the owner may hold.
 #[derive(Debug, Clone, Copy)]
@@ -67,6 +69,8 @@
     listed: BTreeMap<EngineId, EngineEntry>,
     /// What the carrying out of actions has brought; heard in the next turn.
     at_once: VecDeque<Heard>,
+    /// Orders that the engines' side has no room for yet, in turn.
+    late: VecDeque<Order>,
 }
 
 impl Owner {
@@ -95,6 +99,7 @@
             next: 0,
             listed: BTreeMap::new(),
             at_once: VecDeque::new(),
+            late: VecDeque::new(),
         }
     }
 
@@ -147,14 +152,14 @@
 
     /// Tells the gateway all that was heard and is due, lets it decide once, and carries that out.
     fn turn(&mut self, now: Duration, turn: Vec<Heard>) {
+        self.hand_over();
         for heard in turn {
             self.hear(now, heard);
         }
         while let Some((at, token)) = self.due.first().copied().filter(|(at, _)| *at <= now) {
             self.due.remove(&(at, token));
             self.order(Order::Cancel(token));
-            let outcome = Outcome::TimedOut;
-            self.hear(now, Heard::Ended { token, outcome, cost: None, load: None, rows: Vec::new() });
+            self.hear(now, Heard::ended(token, Outcome::TimedOut));
             self.hear(now, Heard::Probed { token, answered: false, load: None });
         }
         if self.wakes.first().is_some_and(|at| *at <= now) {
@@ -277,7 +282,9 @@
                 cell: one.cell,
                 kind: one.kind,
                 state: one.state,
-                started: one.started.map_or(Duration::ZERO, |unix| self.clock.of_unix(unix)),
+                started: one.started.map_or(Duration::ZERO, |unix| {
+                    self.clock.of_start(unix, now, self.stated.duties.cold_for)
+                }),
             })
             .collect();
         for entry in &entries {
@@ -371,34 +378,29 @@
         self.next
     }
 
-    /// Hands an order to the engines' side. One that it can't take is over at once: nothing was sent.
+    /// Hands an order to the engines' side, in turn. A dispatch or probe for which there is no room at all is
+    /// over at once: nothing was sent.
     fn order(&mut self, order: Order) {
-        let Err(refused) = self.orders.try_send(order) else { return };
-        match refused.into_inner() {
-            Order::Dispatch { token, .. } => {
-                let outcome = Outcome::NoConnection;
-                self.at_once.push_back(Heard::Ended {
-                    token,
-                    outcome,
-                    cost: None,
-                    load: None,
-                    rows: Vec::new(),
-                });
+        let full = self.late.len() >= MOST_LATE;
+        match order {
+            Order::Dispatch { token, .. } if full => {
+                self.at_once.push_back(Heard::ended(token, Outcome::NoConnection));
             }
-            Order::Probe { token, .. } => {
+            Order::Probe { token, .. } if full => {
                 self.at_once.push_back(Heard::Probed { token, answered: false, load: None });
             }
-            Order::Cancel(token) => {
-                let outcome = Outcome::Cancelled;
-                self.at_once.push_back(Heard::Ended {
-                    token,
-                    outcome,
-                    cost: None,
-                    load: None,
-                    rows: Vec::new(),
-                });
+            order => self.late.push_back(order),
+        }
+        self.hand_over();
+    }
+
+    fn hand_over(&mut self) {
+        while let Some(order) = self.late.pop_front() {
+            if let Err(refused) = self.orders.try_send(order) {
+                self.late.push_front(refused.into_inner());
+                self.wakes.insert(self.clock.now() + self.stated.tick);
+                return;
             }
-            Order::Weigh { .. } | Order::Roster(..) => log::warn!("the engines' side takes no more orders"),
         }
     }
 
