A second dispatch to one engine opens the connection that it needs

Observed: integration test of a batch dispatched again to the engine that it was cancelled on; it waited 250 ms and ended as 'no connection'. An id never goes over one connection twice; place() opened a further one only when few streams were free, and streams were free on the connection that was barred. Now what waits opens one by itself.

With the integration tests: the built front, stand-in clients, engines and command channel over loopback.

--- a/crates/front/src/program/engines.rs
+++ b/crates/front/src/program/engines.rs
@@ -224,9 +224,10 @@
             }
             None => Placed::Nowhere,
         };
+        // What waits may be barred from a connection that has streams left, as it went over it before.
+        let coming = pool.connecting * streams;
         let free: usize = pool.links.iter().map(|l| l.free(streams)).sum();
-        let wanted = pool.waiting.len() + streams / SPARE_SHARE;
-        let opens = free + pool.connecting * streams < wanted
+        let opens = (coming < pool.waiting.len() || free + coming < streams / SPARE_SHARE)
             && pool.links.len() + pool.connecting < self.shared.per_engine;
         (placed, opens)
     }
--- a/crates/front/src/program/start.rs
+++ b/crates/front/src/program/start.rs
@@ -129,7 +129,8 @@
         connect_timeout: span(told.settings.ceilings.connect_timeout_us),
         settled: told.settings,
     });
-    log::info!("front {} listens on {}, {} engine events known", told.name, told.listen, known.1.len());
+    let address = listener.get_ref().local_addr().map_err(|e| Unfit::Listen(told.listen, e))?;
+    log::info!("front {} listens on {address}, {} engine events known", told.name, known.1.len());
     let owner = Owner::new(stated, seed, clock, limits, orders, counters.clone());
     let open = owner.open();
     let start = async {
--- /dev/null
+++ b/crates/front/tests/sockets.rs
@@ -0,0 +1,403 @@
+//! Starts the built front and speaks to it over loopback.
+
+mod stand;
+
+use serde_json::{Value, json};
+use stand::*;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// A front with one engine.
+fn one() -> (Front, Engine, Commands) {
+    let (engine, commands) = (Engine::start(), Commands::start());
+    let front = Front::start(&told(&[(1, engine.address)], commands.address));
+    (front, engine, commands)
+}
+
+/// A front with two engines, the first of which a batch of these tests goes to.
+fn two() -> (Front, [(u32, Engine); 2], Commands) {
+    let (engines, commands) = ([(1, Engine::start()), (2, Engine::start())], Commands::start());
+    let known: Vec<(u32, SocketAddr)> = engines.iter().map(|(id, e)| (*id, e.address)).collect();
+    let front = Front::start(&told(&known, commands.address));
+    let mut client = front.client();
+    client.ask(1, "look-up");
+    let [a, b] = engines;
+    let first = [&a, &b].into_iter().cycle().find_map(|(id, e)| {
+        let said = e.try_next(PAUSE)?;
+        said.answer("HIT", "fetches=1", b"");
+        Some(*id)
+    });
+    client.returned(1, b"");
+    (front, if first == Some(a.0) { [a, b] } else { [b, a] }, commands)
+}
+
+#[test]
+fn a_result_of_several_pages_is_joined_in_order() {
+    let (front, engine, _commands) = one();
+    let mut client = front.client();
+    let call = client.ask(7, "look-up");
+    let serve = engine.next("serve");
+    assert_eq!(
+        (serve.id.as_str(), serve.body.as_slice()),
+        (call.as_str(), b"select * from sales_17.orders".as_slice())
+    );
+    let fields: Vec<&str> = serve.rest.split(',').collect();
+    assert!(fields.contains(&"queue=look-up") && fields.contains(&"weight=3"), "{fields:?}");
+    let budget: u64 = fields.iter().find_map(|f| f.strip_prefix("budget=")).unwrap().parse().unwrap();
+    assert!((1..=20_000).contains(&budget));
+    serve.answer("INFO", "detail=advance,figure=0.50", b"");
+    serve.answer("HIT", "fetches=3,effort=120,high=64", b"a\tb\tc\n");
+    let pages = [engine.next("read"), engine.next("read")];
+    assert_eq!(pages.each_ref().map(|p| p.rest.as_str()), ["1", "2"]);
+    serve.answer("PART", "fetch_no=2", b"g\th\ti\n");
+    serve.answer("PART", "fetch_no=1", b"d\te\tf\n");
+    client.returned(7, b"a\tb\tc\nd\te\tf\ng\th\ti\n");
+    assert_eq!(engine.next("release").id, call);
+}
+
+#[test]
+fn what_cannot_be_sent_is_pushed_back_with_a_time_to_come_back() {
+    let commands = Commands::start();
+    let front = Front::start(&told(&[], commands.address));
+    let mut client = front.client();
+    client.ask(1, "look-up");
+    let answer = client.next().unwrap();
+    assert_eq!(answer["error"]["code"], -32002);
+    assert!(answer["error"]["data"]["pushback"].as_u64().unwrap() > 0);
+}
+
+#[test]
+fn once_only_work_that_may_have_run_is_errored_and_not_sent_again() {
+    let (front, [(_, first), (_, second)], _commands) = two();
+    let mut client = front.client();
+    for (id, end) in [(1, "FAULT"), (2, "reset"), (3, "reset in mid-answer")] {
+        client.ask(id, "load");
+        let serve = first.try_next(PAUSE).unwrap_or_else(|| second.next("serve"));
+        match end {
+            "FAULT" => serve.answer("FAULT", "-", b""),
+            "reset" => serve.hang_up(),
+            _ => {
+                serve.answer("HIT", "fetches=2", b"a\tb\tc\n");
+                serve.hang_up();
+            }
+        }
+        let code = client.error(Some(id));
+        assert!(code != -32002 && code != 0, "{end}: {code}");
+    }
+}
+
+#[test]
+fn what_an_engine_lost_or_turned_away_goes_elsewhere() {
+    for end in ["SHED", "FAULT", "LATE", "reset", "WHAT"] {
+        let (front, [(_, first), (_, second)], _commands) = two();
+        let mut client = front.client();
+        client.ask(2, "look-up");
+        let serve = first.next("serve");
+        if end == "reset" {
+            serve.hang_up()
+        } else {
+            serve.answer(end, "-", b"")
+        }
+        let again = second.next("serve");
+        assert_eq!(again.id, serve.id, "{end}");
+        again.answer("HIT", "-", b"x\ty\tz\n");
+        client.returned(2, b"x\ty\tz\n");
+    }
+}
+
+#[test]
+fn a_refused_connection_proves_that_once_only_work_never_ran() {
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (engine, commands) = (Engine::start(), Commands::start());
+    // Whichever of the two the order puts first, one of these goes to the closed one first.
+    for known in [[(1, closed), (2, engine.address)], [(1, engine.address), (2, closed)]] {
+        let front = Front::start(&told(&known, commands.address));
+        let mut client = front.client();
+        client.ask(1, "load");
+        engine.next("serve").answer("HIT", "fetches=1", b"a\tb\tc\n");
+        client.returned(1, b"a\tb\tc\n");
+    }
+}
+
+#[test]
+fn a_revoked_batch_is_cancelled_and_gets_no_answer() {
+    let (front, engine, _commands) = one();
+    let mut client = front.client();
+    let call = client.ask(1, "look-up");
+    let serve = engine.next("serve");
+    client.write(r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":1}}"#);
+    assert_eq!(engine.next("cancel").id, call);
+    serve.answer("HIT", "fetches=1", b"late\t\t\n");
+    assert!(client.fit()); // The first thing to come.
+}
+
+#[test]
+fn a_client_that_has_gone_leaves_its_batches() {
+    let (front, engine, _commands) = one();
+    let mut client = front.client();
+    let call = client.ask(1, "look-up");
+    engine.next("serve");
+    drop(client);
+    assert_eq!(engine.next("cancel").id, call);
+}
+
+/// The engine is told twice over different connections, and the second may overtake the cancel of the first.
+#[test]
+fn a_batch_is_not_out_again_before_its_engine_has_read_the_cancel() {
+    let (front, engine, _commands) = one();
+    let mut client = front.client();
+    client.ask(1, "look-up");
+    let serve = engine.next("serve");
+    std::thread::sleep(PAUSE); // It has been out for long against the share done.
+    serve.answer("INFO", "detail=advance,figure=0.001", b"");
+    engine.next("cancel");
+    let behind = engine.next("read behind cancel");
+    assert!(engine.quiet(PAUSE / 5));
+    behind.answer("FAULT", "-", b"");
+    let again = engine.next("serve");
+    assert_eq!(again.id, serve.id);
+    assert_ne!(again.from(), serve.from());
+    serve.answer("HIT", "fetches=1", b"old\t\t\n");
+    again.answer("HIT", "fetches=1", b"new\t\t\n");
+    client.returned(1, b"new\t\t\n");
+}
+
+#[test]
+fn an_answer_that_crosses_its_cancel_counts() {
+    let (front, engine, _commands) = one();
+    let mut client = front.client();
+    client.ask(1, "look-up");
+    let serve = engine.next("serve");
+    std::thread::sleep(PAUSE);
+    serve.answer("INFO", "detail=advance,figure=0.001", b"");
+    engine.next("cancel");
+    serve.answer("HIT", "fetches=1", b"a\tb\tc\n");
+    client.returned(1, b"a\tb\tc\n");
+    engine.next("read behind cancel").answer("FAULT", "-", b"");
+    client.ask(2, "look-up"); // The connection has stood it.
+    engine.next("serve").answer("HIT", "fetches=1", b"");
+    client.returned(2, b"");
+}
+
+#[test]
+fn a_silent_engine_does_not_keep_a_cancelled_batch() {
+    let (engine, commands) = (Engine::start(), Commands::start());
+    let mut told = told(&[(1, engine.address)], commands.address);
+    told["settings"]["classes"][0]["aim_us"] = json!(20_000_000); // It is worth a further dispatch for long.
+    let front = Front::start(&told);
+    let mut client = front.client();
+    client.ask(1, "look-up");
+    let serve = engine.next("serve");
+    std::thread::sleep(PAUSE);
+    serve.answer("INFO", "detail=advance,figure=0.001", b"");
+    engine.next("cancel");
+    engine.next("read behind cancel"); // And no answer to it.
+    let again = engine.next("serve");
+    again.answer("HIT", "fetches=1", b"a\tb\tc\n");
+    client.returned(1, b"a\tb\tc\n");
+}
+
+#[test]
+fn the_channel_is_followed_through_split_repeated_and_missing_frames_and_losses() {
+    use std::io::Write;
+    let (front, [(first, home), (second, other)], commands) = two();
+    let (last, mut wire) = commands.next();
+    assert_eq!(last, 1);
+    let drains = changes(2, &[(first, home.address, 1)]);
+    wire.write_all(&drains[..10]).unwrap();
+    wire.flush().unwrap();
+    std::thread::sleep(PAUSE / 5);
+    wire.write_all(&drains[10..]).unwrap();
+    front.logged("is Leaving");
+    let mut client = front.client();
+    client.ask(1, "look-up");
+    other.next("serve").answer("HIT", "fetches=1", b"");
+    client.returned(1, b"");
+    // Lost and back, from the last event on; what it has is passed over, what is missing asked for again.
+    drop(wire);
+    let (last, mut wire) = commands.next();
+    assert_eq!(last, 2);
+    wire.write_all(&drains).unwrap();
+    wire.write_all(&changes(4, &[(second, other.address, 1)])).unwrap();
+    let (last, mut wire) = commands.next();
+    assert_eq!(last, 2);
+    // An engine of a kind that nobody has stated is left out, and a bad frame ends the connection.
+    let mut strange = changes(3, &[(first, home.address, 0), (9, home.address, 0)]);
+    strange[13 + 27 + 12] = 7;
+    wire.write_all(&strange).unwrap();
+    front.logged("engine 00000009 is left out");
+    wire.write_all(&changes(4, &[(second, other.address, 2)])).unwrap();
+    front.logged("is Left");
+    client.ask(2, "look-up");
+    home.next("serve").answer("HIT", "fetches=1", b"");
+    client.returned(2, b"");
+    wire.write_all(&[0, 0, 0, 1, 1]).unwrap();
+    assert_eq!(commands.next().0, 4);
+}
+
+#[test]
+fn a_new_engine_at_the_address_of_one_that_has_gone_gets_connections_of_its_own() {
+    use std::io::Write;
+    let (front, engine, commands) = one();
+    let mut client = front.client();
+    client.ask(1, "look-up");
+    let old = engine.next("serve");
+    let (_, mut wire) = commands.next();
+    wire.write_all(&changes(2, &[(1, engine.address, 2), (5, engine.address, 0)])).unwrap();
+    front.logged("engine 00000005 is Active");
+    client.ask(2, "look-up");
+    let new = engine.next("serve");
+    assert_ne!(new.from(), old.from());
+    old.answer("HIT", "fetches=1", b"old\t\t\n"); // What was out there may still end well.
+    client.returned(1, b"old\t\t\n");
+    new.answer("HIT", "fetches=1", b"");
+    client.returned(2, b"");
+}
+
+#[test]
+fn bad_input_gets_its_error_and_harms_nobody_else() {
+    let (front, engine, _commands) = one();
+    let (mut bad, mut good) = (front.client(), front.client());
+    good.ask(1, "look-up");
+    let serve = engine.next("serve");
+    let params = r#""call":"9b1f03aa5c7e2d41","ttl":1500"#;
+    for (line, id, code) in [
+        ("{", None, -32700),
+        ("[1", None, -32700),
+        (&"[".repeat(500), None, -32700),
+        (r#"{"jsonrpc":"1.0","id":3,"method":"look-up"}"#, Some(3), -32600),
+        (r#"{"jsonrpc":"2.0","id":3}"#, Some(3), -32600),
+        (r#"{"jsonrpc":"2.0","id":"x","method":"look-up"}"#, None, -32600),
+        (
+            &format!(r#"{{"jsonrpc":"2.0","id":4,"method":"guess","params":{{{params},"data":""}}}}"#),
+            Some(4),
+            -32601,
+        ),
+        (r#"{"jsonrpc":"2.0","id":5,"method":"look-up","params":{"ttl":1500,"data":""}}"#, Some(5), -32602),
+        (
+            r#"{"jsonrpc":"2.0","id":5,"method":"look-up","params":{"call":"9b1f03aa5c7e2d41","data":""}}"#,
+            Some(5),
+            -32602,
+        ),
+        (
+            &format!(r#"{{"jsonrpc":"2.0","id":6,"method":"look-up","params":{{{params},"data":"!"}}}}"#),
+            Some(6),
+            -32602,
+        ),
+        (
+            r#"{"jsonrpc":"2.0","id":7,"method":"look-up","params":{"call":7,"ttl":1500,"data":""}}"#,
+            Some(7),
+            -32602,
+        ),
+    ] {
+        bad.write(line);
+        assert_eq!(bad.error(id), code, "{line}");
+    }
+    assert!(bad.fit());
+    // An id that is open, and a call that is open elsewhere: neither ends what came first.
+    good.ask(1, "look-up");
+    assert_eq!(good.error(None), -32600);
+    let data = base64(b"select 1");
+    let params = json!({"call": serve.id, "ttl": 1500, "data": data});
+    bad.write(&json!({"jsonrpc": "2.0", "id": 8, "method": "look-up", "params": params}).to_string());
+    bad.error(Some(8));
+    bad.write(&"x".repeat(400_000));
+    assert_eq!(bad.next(), None);
+    assert!(engine.quiet(PAUSE));
+    serve.answer("HIT", "fetches=1", b"a\tb\tc\n");
+    good.returned(1, b"a\tb\tc\n");
+}
+
+#[test]
+fn a_connection_carries_so_many_batches_and_no_more() {
+    let (front, engine, _commands) = one();
+    let mut client = front.client();
+    for id in 1..=33 {
+        client.ask(id, "look-up");
+    }
+    assert_eq!(client.error(Some(33)), -32600);
+    engine.next("serve").answer("HIT", "fetches=1", b"");
+    client.returned(1, b"");
+}
+
+#[test]
+fn a_signal_to_end_is_followed_by_an_answer_to_all_and_an_end() {
+    let (mut front, engine, _commands) = one();
+    let mut client = front.client();
+    client.ask(1, "look-up");
+    engine.next("serve").answer("HIT", "fetches=1", b"");
+    client.returned(1, b"");
+    client.ask(2, "load");
+    let running = engine.next("serve"); // It never ends.
+    front.signal("TERM");
+    front.logged("closing");
+    assert!(!client.fit());
+    let mut late = front.client();
+    late.ask(3, "look-up");
+    let answered = engine.next("serve");
+    answered.answer("HIT", "fetches=1", b"a\tb\tc\n");
+    late.returned(3, b"a\tb\tc\n");
+    let code = client.error(Some(2)); // It may have run: errored, not pushed back.
+    assert_ne!(code, -32002);
+    assert_eq!(engine.next("cancel").id, running.id);
+    let counts = front.logged("counts");
+    for count in ["taken look-up=2 load=1", "returned look-up=2", "errored load=1"] {
+        assert!(counts.contains(count), "{counts}");
+    }
+    assert_eq!(front.ends(), Some(0));
+}
+
+#[test]
+fn counters_are_printed_on_request() {
+    let (front, engine, _commands) = one();
+    let mut client = front.client();
+    client.ask(1, "load");
+    engine.next("serve").answer("HIT", "fetches=1", b"");
+    client.returned(1, b"");
+    front.signal("USR1");
+    let counts = front.logged("counts");
+    assert!(counts.contains("dispatched load=1") && counts.contains("returned load=1"), "{counts}");
+    assert!(client.fit());
+}
+
+#[test]
+fn idle_clients_make_room_when_descriptors_run_short() {
+    let (engine, commands) = (Engine::start(), Commands::start());
+    let mut told = told(&[(1, engine.address)], commands.address);
+    told["limits"]["sockets"] = json!(96);
+    let front = Front::start(&told);
+    let mut busy = front.client();
+    busy.ask(1, "look-up");
+    let serve = engine.next("serve");
+    let idle: Vec<TcpStream> = (0..120).map(|_| TcpStream::connect(front.address).unwrap()).collect();
+    let mut last = front.client();
+    assert!(last.fit());
+    serve.answer("HIT", "fetches=1", b"a\tb\tc\n");
+    busy.returned(1, b"a\tb\tc\n");
+    drop(idle);
+}
+
+#[test]
+fn a_front_that_cannot_start_says_why() {
+    let commands = Commands::start();
+    let good = told(&[], commands.address);
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let shaped = |shape: &dyn Fn(&mut Value)| {
+        let mut told = good.clone();
+        shape(&mut told);
+        unfit(Some(&told.to_string()))
+    };
+    for ((code, text), names) in [
+        (unfit(None), "PROXY_CONFIG"),
+        (unfit(Some("{")), "can't use"),
+        (shaped(&|told| drop(told["settings"].as_object_mut().unwrap().remove("classes"))), "classes"),
+        (shaped(&|told| told["seed"] = json!("none")), "seed"),
+        (shaped(&|told| drop(told["known"].as_object_mut().unwrap().remove("cmds"))), "cmds"),
+        (shaped(&|told| told["listen"] = json!(taken.local_addr().unwrap().to_string())), "listen"),
+    ] {
+        assert_eq!(code, Some(1), "{names}: {text}");
+        assert!(text.contains(names) && text.lines().count() == 1, "{names}: {text}");
+    }
+}
--- /dev/null
+++ b/crates/front/tests/stand/mod.rs
@@ -0,0 +1,329 @@
+//! Stand-ins for all that a front speaks to, and the built front itself.
+
+use serde_json::{Value, json};
+use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread;
+use std::time::Duration;
+
+/// Longer than anything takes, on however busy a machine.
+pub const LONG: Duration = Duration::from_secs(30);
+/// Rows are read by base64 on the client's side.
+const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+pub fn base64(bytes: &[u8]) -> String {
+    let chunk = |three: &[u8]| {
+        let bits = three.iter().fold(0u32, |sum, b| sum << 8 | u32::from(*b)) << (8 * (3 - three.len()));
+        let digit = |place: usize| {
+            let known = place <= three.len();
+            if known { char::from(DIGITS[(bits >> (18 - 6 * place)) as usize & 63]) } else { '=' }
+        };
+        (0..4).map(digit).collect::<String>()
+    };
+    bytes.chunks(3).map(chunk).collect()
+}
+
+/// The front as built, ended with the test.
+pub struct Front {
+    child: Child,
+    pub address: SocketAddr,
+    log: Receiver<String>,
+}
+
+pub fn settings() -> Value {
+    let class = |name, aim, limit, effect| {
+        json!({"name": name, "aim_us": aim, "aim_stretch": 1.5, "hard_limit_us": limit, "effect": effect,
+            "points": 1.0, "late_value": 0.0, "group": "all", "key_ttl_us": 0, "stream": false})
+    };
+    json!({
+        "areas": ["east", "west"], "kinds": ["std"], "balancers": 1, "my_number": 0, "zone": 0,
+        "tick_us": 5000, "discovery": "pushed", "client_habits": {"marks_retry": true},
+        "ceilings": {"cancel": true, "conn_idle_us": 30_000_000, "connect_timeout_us": 250_000,
+            "max_attempts": 4, "max_retry_after_us": 2_000_000, "open_cap": 1000, "peers": false,
+            "probes": true, "retry_after": true, "second_copies": false, "streams_per_conn": 32},
+        "classes": [class("look-up", 1_000_000, 5_000_000, "safe"),
+            class("load", 4_000_000, 20_000_000, "unsafe")],
+        "family_info": {"class_load": [false, true], "class_threads": [1, 2], "cpu_of_kind": [8],
+            "lanes_count": true, "memory_by_kind_mb": [16384.0], "note_period_us": 1_000_000,
+            "says_cost": true, "takes_grants": true, "yields_to_loads": [true, false]},
+        "obligations": {"ask_within_us": 10_000_000, "cold_from": 0.34, "cold_us": 14_000_000,
+            "drain_grace_us": 2_000_000, "fall_multiple": 3.0, "tip_after_us": 1_500_000},
+        "report": {"fields": ["busy"], "via": "on_probe"},
+    })
+}
+
+/// What the front is told at its start, with these engines ready.
+pub fn told(engines: &[(u32, SocketAddr)], channel: SocketAddr) -> Value {
+    let member = |(id, address): &(u32, SocketAddr)| {
+        json!({"id": format!("s-{id:08x}"), "host_port": address.to_string(), "locality": "east",
+            "flavor": "std", "cell": 0, "phase": "Ready", "size": 1, "up_since_ms": 0})
+    };
+    let members: Vec<Value> = engines.iter().map(member).collect();
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "channel": channel.to_string(),
+        "known": {"cursor": 1, "cmds": [{"nodes": {"revision": 1, "complete": true, "members": members}}]},
+        "settings": settings(),
+    })
+}
+
+/// A front that is to fail at its start: its exit code, and what it wrote.
+pub fn unfit(told: Option<&str>) -> (Option<i32>, String) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lemonusher-front"));
+    command.env_remove("PROXY_CONFIG");
+    if let Some(text) = told {
+        command.env("PROXY_CONFIG", file(text));
+    }
+    let output = command.output().unwrap();
+    (output.status.code(), String::from_utf8(output.stderr).unwrap())
+}
+
+fn file(text: &str) -> std::path::PathBuf {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("front-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+impl Front {
+    pub fn start(told: &Value) -> Front {
+        let mut child = Command::new(env!("CARGO_BIN_EXE_lemonusher-front"))
+            .env("PROXY_CONFIG", file(&told.to_string()))
+            .env("RUST_LOG", "info")
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        let (send, log) = channel();
+        thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(send.send(line))));
+        let first = log.recv_timeout(LONG).unwrap();
+        let address = first.split_once("listens on ").and_then(|(_, rest)| rest.split(',').next());
+        let address = address.and_then(|text| text.parse().ok()).expect(&first);
+        Front { child, address, log }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::new(TcpStream::connect(self.address).unwrap())
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
+    }
+
+    /// The next line of the log that holds this text.
+    pub fn logged(&self, text: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(LONG).expect(text);
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+
+    pub fn ends(&mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
+    }
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub struct Client {
+    pub wire: TcpStream,
+    lines: BufReader<TcpStream>,
+}
+
+impl Client {
+    fn new(wire: TcpStream) -> Client {
+        wire.set_read_timeout(Some(LONG)).unwrap();
+        Client { lines: BufReader::new(wire.try_clone().unwrap()), wire }
+    }
+
+    pub fn write(&mut self, line: &str) {
+        self.wire.write_all(format!("{line}\n").as_bytes()).unwrap();
+    }
+
+    /// Asks under an id that makes the call as well; the call is returned.
+    pub fn ask(&mut self, id: u64, method: &str) -> String {
+        let call = format!("{:08x}{id:08x}", self.wire.local_addr().unwrap().port());
+        let tables = if method == "load" { "sales_3.orders" } else { "sales_17.orders" };
+        let data = base64(format!("select * from {tables}").as_bytes());
+        let params = json!({"call": call, "ttl": 20_000, "data": data});
+        self.write(&json!({"jsonrpc": "2.0", "id": id, "method": method, "params": params}).to_string());
+        call
+    }
+
+    /// The next answer; `None` once the front has closed the connection.
+    pub fn next(&mut self) -> Option<Value> {
+        let mut line = String::new();
+        match self.lines.read_line(&mut line) {
+            Ok(0) => None,
+            Ok(_) => Some(serde_json::from_str(&line).unwrap()),
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => None,
+            Err(e) => panic!("no answer: {e}"),
+        }
+    }
+
+    pub fn returned(&mut self, id: u64, rows: &[u8]) {
+        let wanted = json!({"jsonrpc": "2.0", "id": id, "result": {"data": base64(rows)}});
+        assert_eq!(self.next(), Some(wanted));
+    }
+
+    pub fn error(&mut self, id: Option<u64>) -> i64 {
+        let answer = self.next().unwrap();
+        assert_eq!(answer["id"], json!(id), "{answer}");
+        answer["error"]["code"].as_i64().expect("an error")
+    }
+
+    pub fn fit(&mut self) -> bool {
+        self.write(r#"{"jsonrpc":"2.0","id":999,"method":"heartbeat"}"#);
+        self.next().unwrap()["result"]["fit"].as_bool().unwrap()
+    }
+}
+
+/// Something that a front said to an engine.
+pub struct Said {
+    pub verb: String,
+    pub id: String,
+    /// Fields, page number or priority.
+    pub rest: String,
+    pub body: Vec<u8>,
+    pub wire: TcpStream,
+}
+
+impl Said {
+    pub fn answer(&self, word: &str, fields: &str, body: &[u8]) {
+        let mut message = format!("{} {word} {fields} {}\r\n", self.id, body.len()).into_bytes();
+        message.extend_from_slice(body);
+        message.extend_from_slice(b"\r\n");
+        (&self.wire).write_all(&message).unwrap();
+    }
+
+    pub fn hang_up(&self) {
+        self.wire.shutdown(Shutdown::Both).unwrap();
+    }
+
+    pub fn from(&self) -> SocketAddr {
+        self.wire.peer_addr().unwrap()
+    }
+}
+
+/// An engine that answers probes, and tells the test of all else.
+pub struct Engine {
+    pub address: SocketAddr,
+    said: Receiver<Said>,
+}
+
+impl Engine {
+    pub fn start() -> Engine {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (send, said) = channel();
+        thread::spawn(move || {
+            for wire in listener.incoming().map_while(Result::ok) {
+                let send = send.clone();
+                thread::spawn(move || converse(wire, &send));
+            }
+        });
+        Engine { address, said }
+    }
+
+    pub fn next(&self, verb: &str) -> Said {
+        let said = self.said.recv_timeout(LONG).expect(verb);
+        assert_eq!(said.verb, verb, "{} {}", said.id, said.rest);
+        said
+    }
+
+    /// A batch, if one comes within this time.
+    pub fn try_next(&self, span: Duration) -> Option<Said> {
+        self.said.recv_timeout(span).ok().filter(|said| said.verb == "serve")
+    }
+
+    /// Whether nothing comes for a while.
+    pub fn quiet(&self, span: Duration) -> bool {
+        matches!(self.said.recv_timeout(span), Err(RecvTimeoutError::Timeout))
+    }
+}
+
+fn converse(wire: TcpStream, send: &Sender<Said>) {
+    let mut lines = BufReader::new(wire.try_clone().unwrap());
+    let mut cancelled = BTreeSet::new();
+    let mut line = String::new();
+    while lines.read_line(&mut line).is_ok_and(|n| n > 0) {
+        let words: Vec<&str> = line.trim_end().split(' ').collect();
+        let mut said = Said {
+            verb: words[0].to_owned(),
+            id: words[1].to_owned(),
+            rest: words.get(2).copied().unwrap_or_default().to_owned(),
+            body: Vec::new(),
+            wire: wire.try_clone().unwrap(),
+        };
+        if said.verb == "serve" {
+            let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+            lines.read_exact(&mut body).unwrap();
+            body.truncate(body.len() - 2);
+            said.body = body;
+        }
+        match said.verb.as_str() {
+            "gauges" => said.answer("PONG", "use=util:0.10", b""),
+            "cancel" => drop(cancelled.insert(said.id.clone())),
+            _ => {}
+        }
+        if said.verb == "read" && cancelled.contains(&said.id) {
+            said.verb = "read behind cancel".to_owned();
+        }
+        if said.verb != "gauges" {
+            let _ = send.send(said);
+        }
+        line.clear();
+    }
+}
+
+/// The command channel: connections of the front, each with the number that it asked from.
+pub struct Commands {
+    pub address: SocketAddr,
+    listener: TcpListener,
+}
+
+impl Commands {
+    pub fn start() -> Commands {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Commands { address: listener.local_addr().unwrap(), listener }
+    }
+
+    pub fn next(&self) -> (u64, TcpStream) {
+        let (mut wire, _) = self.listener.accept().unwrap();
+        wire.set_read_timeout(Some(LONG)).unwrap();
+        let mut last = [0; 8];
+        wire.read_exact(&mut last).unwrap();
+        (u64::from_be_bytes(last), wire)
+    }
+}
+
+/// A frame of changes: engine, address, state.
+pub fn changes(number: u64, records: &[(u32, SocketAddr, u8)]) -> Vec<u8> {
+    let mut frame = ((9 + 27 * records.len()) as u32).to_be_bytes().to_vec();
+    frame.extend(number.to_be_bytes());
+    frame.push(2);
+    for (id, address, state) in records {
+        let SocketAddr::V4(address) = address else { unreachable!() };
+        frame.extend(id.to_be_bytes());
+        frame.extend(address.ip().octets());
+        frame.extend(address.port().to_be_bytes());
+        frame.extend([*state, 0, 0]);
+        frame.extend(0u16.to_be_bytes());
+        frame.extend(1000u32.to_be_bytes());
+        frame.extend(0u64.to_be_bytes());
+    }
+    frame
+}
