What is out for a client that has left is cancelled

Observed: integration test of a client that closes its connection; its batch stayed out on the engine until its time limit 20 s later. The front had told the gateway at once (ruled out: a connection whose end is not seen); the module closed the batch and left the dispatch out. At fault: logic.rs, hear(Left) and the filter in reconcile(), which passed over all that was over. It also covers revokes and resets; harm: none known, as nobody reads the answer. Story added, and one for the closing date.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -317,6 +317,7 @@
             Event::Left(id) => {
                 if let Some(&seq) = self.ids.get(&id) {
                     self.close(seq);
+                    self.touched.insert(seq); // What is out of it does work for nobody.
                 }
             }
             Event::Probed { engine, answered: true, after, load } => {
@@ -937,11 +938,10 @@
             actions.push(Action::Wake { at: self.armed });
         }
         for seq in std::mem::take(&mut self.touched) {
-            let Some(batch) = self.batches.get_mut(&seq).filter(|b| !b.over) else { continue };
-            let id = batch.id.clone();
-            let row = &self.rows[batch.row];
-            let wanted = batch.wanted;
-            let unwanted = |out: &&mut Out| !out.cancelled && wanted != Wanted::Out(out.engine);
+            let Some(batch) = self.batches.get_mut(&seq) else { continue };
+            let (id, row) = (batch.id.clone(), &self.rows[batch.row]);
+            let (wanted, over) = (batch.wanted, batch.over);
+            let unwanted = |out: &&mut Out| !out.cancelled && (over || wanted != Wanted::Out(out.engine));
             if let Some(out) = batch.out.as_mut().filter(unwanted) {
                 out.cancelled = true;
                 if self.stated.permits.cancel {
@@ -949,6 +949,7 @@
                 }
             }
             match batch.wanted {
+                _ if over => {}
                 Wanted::Out(engine) if batch.out.is_none() => {
                     let priority = row.priority;
                     if std::mem::replace(&mut batch.priority, priority) != priority {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -427,3 +427,33 @@
     host.wait(ms(600));
     assert_eq!(probed(&host.ask("c", SHORT, 9)), Some(1));
 }
+
+#[test]
+fn what_is_out_for_a_client_that_has_left_is_cancelled_once() {
+    let mut host = Host::of(1);
+    let engine = engine_of(&host.ask("a", REPORT, 9), "a").unwrap();
+    let cancel = Action::Cancel { batch: "a".into(), dispatch: 0 };
+    assert_eq!(host.tell(Event::Left("a".into())).iter().filter(|a| **a == cancel).count(), 1);
+    assert!(!host.tell(Event::Left("a".into())).contains(&cancel));
+    host.end("a", 0, engine, Outcome::Cancelled);
+    host.ask("b", REPORT, 9);
+    host.wait(ms(19_995));
+    host.tell(Event::Left("b".into())); // It has its answer, and gets no second one.
+    assert!(!pushed_back(&host.wait(ms(50)), "b"));
+}
+
+#[test]
+fn a_front_told_to_end_answers_all_by_then_however_far_the_limits_lie() {
+    let mut host = Host::of(1);
+    host.ask("report", REPORT, 9);
+    host.ask("load", LOAD, 8);
+    let by = host.now + ms(3000);
+    host.tell(Event::Closing { by });
+    let before = host.wait(ms(2900));
+    assert!(!errored(&before, "load") && !pushed_back(&before, "report"));
+    let late = host.ask("late", SHORT, 7);
+    assert!(engine_of(&late, "late").is_some());
+    let last = host.wait(ms(95));
+    // A load may have run: it is errored. What may run again is pushed back.
+    assert!(errored(&last, "load") && pushed_back(&last, "report") && pushed_back(&last, "late"));
+}
