Hear at once, decide once a tick

The simulator decides once a tick on all that came in it; the front decided on each event, so what was freed went to whoever came next rather than to the oldest held.

--- a/crates/front/src/routing/owner.rs
+++ b/crates/front/src/routing/owner.rs
@@ -71,6 +71,9 @@
     at_once: VecDeque<Heard>,
     /// Orders that the engines' side has no room for yet, in turn.
     late: VecDeque<Order>,
+    /// When the gateway decided last, and whether it has heard anything since.
+    decided: Duration,
+    undecided: bool,
 }
 
 impl Owner {
@@ -100,6 +103,8 @@
             listed: BTreeMap::new(),
             at_once: VecDeque::new(),
             late: VecDeque::new(),
+            decided: Duration::ZERO,
+            undecided: false,
         }
     }
 
@@ -135,7 +140,9 @@
 
     /// The next that is heard, or nothing if something is due before.
     async fn wait(&self, queue: &Receiver<Heard>) -> Option<Result<Heard, async_channel::RecvError>> {
-        let due = self.wakes.first().copied().into_iter().chain(self.due.first().map(|d| d.0)).min();
+        let decision = self.undecided.then_some(self.decided + self.stated.tick);
+        let wake = self.wakes.first().copied();
+        let due = wake.into_iter().chain(self.due.first().map(|d| d.0)).chain(decision).min();
         let heard = async { Some(queue.recv().await) };
         match due {
             Some(due) => {
@@ -150,14 +157,17 @@
         }
     }
 
-    /// Tells the gateway all that was heard and is due, lets it decide once, and carries that out.
+    /// Tells the gateway all that was heard and is due. It decides once a tick at most, as what comes together
+    /// is better decided together; what a decision wants is carried out at once.
     fn turn(&mut self, now: Duration, turn: Vec<Heard>) {
         self.hand_over();
+        self.undecided |= !turn.is_empty();
         for heard in turn {
             self.hear(now, heard);
         }
         while let Some((at, token)) = self.due.first().copied().filter(|(at, _)| *at <= now) {
             self.due.remove(&(at, token));
+            self.undecided = true;
             self.order(Order::Cancel(token));
             self.hear(now, Heard::ended(token, Outcome::TimedOut));
             self.hear(now, Heard::Probed { token, answered: false, load: None });
@@ -165,7 +175,12 @@
         if self.wakes.first().is_some_and(|at| *at <= now) {
             self.wakes = self.wakes.split_off(&(now + Duration::from_nanos(1)));
             self.gateway.hear(now, Event::Woke);
+            self.undecided = true;
         }
+        if !self.undecided || now < self.decided + self.stated.tick {
+            return;
+        }
+        (self.decided, self.undecided) = (now, false);
         for action in self.gateway.decide(now) {
             self.carry_out(now, action);
         }
