Time in which the front does not run is lost to its clients; a half-closed client gets its answer

Found by reading PROTOCOL against the code, shown by tests: a client's time runs from its sending, but the front counted it from its own reading, so after a stop of 600 ms a batch would have been answered up to 600 ms past its time limit. transport/pulse.rs beats each 10 ms; what is read after a late beat has waited for so long at most, and its patience is that much less. A client that closes only its side lost its batches without an answer; now each gets an error, which promises nothing, before the front closes. The engines' module is split into pools and links.

--- a/crates/front/src/program/clients.rs
+++ b/crates/front/src/program/clients.rs
@@ -20,6 +20,7 @@
 const MOST_OPEN: usize = 32;
 const OUTBOX: usize = MOST_OPEN * 96 * 1024; // An answer to each open batch fits, however large.
 const STALL: Duration = Duration::from_secs(10); // A client that reads nothing for so long has gone.
+const QUIET: Duration = Duration::from_secs(1); // Between two warnings of one kind.
 const NO_DESCRIPTOR: Duration = Duration::from_millis(20);
 
 /// One client connection.
@@ -37,6 +38,7 @@
 /// Accepts for as long as the front runs.
 pub async fn run(shared: Rc<Shared>, listener: Async<TcpListener>) {
     let sessions = Sessions::default();
+    let mut warned = Instant::now() - QUIET;
     for number in 0.. {
         while sessions.borrow().len() >= shared.clients {
             // Room is made by closing what has been idle longest; if all is busy, who comes waits in line.
@@ -64,7 +66,10 @@
                 shared.executor.spawn(serve).detach();
             }
             Err(error) => {
-                log::warn!("can't accept: {error}");
+                if warned.elapsed() > QUIET {
+                    log::warn!("can't accept: {error}");
+                    warned = Instant::now();
+                }
                 close_idlest(&sessions);
                 Timer::after(NO_DESCRIPTOR).await;
             }
@@ -89,8 +94,16 @@
 
     async fn serve(self: &Rc<Self>) {
         let read = async {
-            if let Err(error) = self.read().await {
-                log::debug!("a client's connection ends: {error}");
+            match self.read().await {
+                // The client may have closed only its side of the connection: what it left open gets an answer
+                // that promises nothing, in case it still reads.
+                Ok(()) => {
+                    let open: Vec<u64> = self.open.borrow().keys().copied().collect();
+                    open.into_iter().for_each(|id| self.write(&client::errored(id)));
+                    self.outbox.close();
+                    std::future::pending().await
+                }
+                Err(error) => log::debug!("a client's connection ends: {error}"),
             }
             Ok(())
         };
@@ -163,7 +176,9 @@
             batch: call,
             service_group,
             table_group: table_group(&String::from_utf8_lossy(&batch.statement)).unwrap_or_default(),
-            patience: Duration::from_millis(batch.ttl_ms),
+            // The client's time runs from its sending, also while this process does not.
+            patience: Duration::from_millis(batch.ttl_ms)
+                .saturating_sub(self.shared.pulse.lag(Instant::now())),
             repeat: batch.repeat,
             statement: batch.statement.into(),
         };
--- a/crates/front/src/program/engines.rs
+++ b/crates/front/src/program/engines/mod.rs
@@ -1,16 +1,19 @@
 //! Connections to engines. One task takes the owner's orders; each connection has a session that reads the
 //! answers. A pool belongs to an engine's id: a new engine may have the address of one that has gone.
 
+mod link;
+
 use super::start::Shared;
-use crate::protocol::engine::{self, Answer, LONGEST_ANSWER, Malformed, Terms, Word};
+use crate::protocol::engine::{self, LONGEST_ANSWER, Malformed, Terms};
 use crate::routing::{Heard, Kind, Listed, Order, Token};
-use crate::transport::{self, Broken, Outbox, Wire};
+use crate::transport::{self, Broken, Wire};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::{FutureExt, StreamExt};
-use lemonusher::{Cost, EngineId, EngineState, LoadReport, Note, Outcome, RosterKind};
-use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use lemonusher::{EngineId, EngineState, Outcome, RosterKind};
+use link::{HowFar, Link, OutKind};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::pin::pin;
@@ -18,72 +21,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const OUTBOX: usize = 1024 * 1024;
-const LARGEST_RESULT: usize = 64 * 1024;
-const MOST_PAGES: usize = 64;
-const MOST_IDS: usize = 4096; // Ids that one connection has carried before it takes no further ones.
 const MOST_WAITING: usize = 1024; // Orders that wait for a connection to one engine.
 const IDLE_SHARE: u32 = 2; // An idle connection is closed after this part of the time the engine gives it.
 const SPARE_SHARE: usize = 4; // A further connection is opened once less than this part of streams is free.
 const QUIET_PERIODS: u32 = 3; // Note periods without a byte after which a connection takes nothing new.
 
-/// How far a dispatch had come when its connection failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum HowFar {
-    NotConnected,
-    NotWhollySent,
-    Sent,
-    Answering,
-}
-
-impl HowFar {
-    /// What is known of it, and no more.
-    fn outcome(self) -> Outcome {
-        match self {
-            HowFar::NotConnected | HowFar::NotWhollySent => Outcome::NoConnection,
-            HowFar::Sent | HowFar::Answering => Outcome::Reset,
-        }
-    }
-}
-
-/// Something that is out on a connection.
-struct Out {
-    token: Token,
-    /// Where its message ends among all that was written.
-    end: u64,
-    kind: OutKind,
-}
-
-enum OutKind {
-    Probe,
-    Batch(Option<Pages>),
-    /// Cancelled at this time; it counts as out until the engine is known to have read the cancel.
-    GivenUp(Instant),
-}
-
-/// A result of several pages that has begun to come.
-struct Pages {
-    pages: Vec<Option<Vec<u8>>>,
-    missing: usize,
-    bytes: usize,
-    cost: Option<Cost>,
-    load: Option<LoadReport>,
-}
-
-struct Link {
-    shared: Rc<Shared>,
-    engine: EngineId,
-    outbox: Outbox,
-    out: RefCell<BTreeMap<Arc<str>, Out>>,
-    /// Ids that were ever out here: none is sent twice, so that no answer is taken for another's.
-    carried: RefCell<BTreeSet<Arc<str>>>,
-    /// It takes nothing new, and ends once nothing is out.
-    retired: Cell<bool>,
-    used: Cell<Instant>,
-    /// When the first message went out since the engine was last heard.
-    asked: Cell<Option<Instant>>,
-}
-
 enum Placed {
     On(Rc<Link>),
     Waits,
@@ -135,9 +77,8 @@
                 engines.places.borrow_mut().remove(&token);
                 let _ = engines.shared.queue.send(Heard::ended(token, Outcome::Cancelled)).await;
             }
-            let silent = link.asked.get().is_some_and(|at| !period.is_zero() && at.elapsed() > quiet);
-            let unused = link.out.borrow().is_empty() && link.used.get().elapsed() > idle;
-            if silent || unused {
+            let silent = !period.is_zero() && link.silent(quiet);
+            if silent || link.unused(idle) {
                 link.retire();
             }
         }
@@ -272,18 +213,10 @@
             }
             _ => return,
         };
-        let Ok(end) = link.outbox.push(&message) else {
-            link.retire();
+        if !link.put(token, id.clone(), &message, kind) {
             return self.fail(order, HowFar::NotWhollySent).await;
-        };
-        link.used.set(Instant::now());
-        link.asked.set(link.asked.get().or(Some(Instant::now())));
-        link.carried.borrow_mut().insert(id.clone());
-        link.out.borrow_mut().insert(id.clone(), Out { token, end, kind });
-        self.places.borrow_mut().insert(token, (link.clone(), id));
-        if link.carried.borrow().len() >= MOST_IDS {
-            link.retired.set(true);
         }
+        self.places.borrow_mut().insert(token, (link.clone(), id));
     }
 
     async fn cancel(&self, token: Token) {
@@ -360,16 +293,7 @@
     /// One connection, from when it is up to its end.
     async fn serve(self: &Rc<Self>, engine: EngineId, address: SocketAddr, wire: Wire) {
         self.shared.counters.add(Kind::Engines, None);
-        let link = Rc::new(Link {
-            shared: self.shared.clone(),
-            engine,
-            outbox: Outbox::new(wire, OUTBOX),
-            out: RefCell::default(),
-            carried: RefCell::default(),
-            retired: Cell::new(false),
-            used: Cell::new(Instant::now()),
-            asked: Cell::new(None),
-        });
+        let link = Rc::new(Link::new(self.shared.clone(), engine, wire));
         match self.pools.borrow_mut().get_mut(&engine) {
             Some(pool) if pool.state != EngineState::Left && pool.address == address => {
                 pool.links.push(link.clone());
@@ -378,8 +302,7 @@
         }
         self.send_waiting(engine).await;
         let end = AssertUnwindSafe(self.converse(&link)).catch_unwind().await;
-        link.retired.set(true);
-        link.outbox.close();
+        let over = link.end();
         match end {
             Ok(Some(error)) => log::debug!("engine {engine:08x}: a connection ends: {error}"),
             Ok(None) => {}
@@ -392,7 +315,10 @@
             pool.links.retain(|other| !Rc::ptr_eq(other, &link));
         }
         self.unconnected(engine).await;
-        self.broken(&link).await;
+        for (token, heard) in over {
+            self.places.borrow_mut().remove(&token);
+            let _ = self.shared.queue.send(heard).await;
+        }
     }
 
     async fn converse(self: &Rc<Self>, link: &Rc<Link>) -> Option<String> {
@@ -413,8 +339,6 @@
         let mut answers = pin!(transport::messages(link.outbox.wire(), LONGEST_ANSWER, None, engine::cut));
         while let Some(answer) = answers.next().await {
             let answer = answer?;
-            link.used.set(Instant::now());
-            link.asked.set(None);
             if let Some((token, heard)) = link.hear(answer).map_err(Broken::Bad)? {
                 if !matches!(heard, Heard::Noted { .. }) {
                     self.places.borrow_mut().remove(&token);
@@ -426,24 +350,6 @@
         }
         Ok(())
     }
-
-    /// All that was out on a connection that has ended is over, by how far it had come.
-    async fn broken(&self, link: &Link) {
-        let written = link.outbox.written();
-        let sent = |end: u64| if written < end { HowFar::NotWhollySent } else { HowFar::Sent };
-        let out = std::mem::take(&mut *link.out.borrow_mut());
-        for out in out.into_values() {
-            self.places.borrow_mut().remove(&out.token);
-            let heard = match out.kind {
-                OutKind::Probe => Heard::Probed { token: out.token, answered: false, load: None },
-                OutKind::Batch(Some(_)) => Heard::ended(out.token, HowFar::Answering.outcome()),
-                OutKind::Batch(None) | OutKind::GivenUp(_) => {
-                    Heard::ended(out.token, sent(out.end).outcome())
-                }
-            };
-            let _ = self.shared.queue.send(heard).await;
-        }
-    }
 }
 
 impl Order {
@@ -474,166 +380,8 @@
 
     /// The fullest connection that can take the order, so that others fall idle.
     fn free(&self, order: &Order, streams: usize) -> Option<Rc<Link>> {
-        let fits = |link: &&Rc<Link>| {
-            link.free(streams) > 0 && order.batch().is_none_or(|id| !link.carried.borrow().contains(id))
-        };
+        let fits =
+            |link: &&Rc<Link>| link.free(streams) > 0 && order.batch().is_none_or(|id| !link.has_carried(id));
         self.links.iter().filter(fits).min_by_key(|link| link.free(streams)).cloned()
     }
 }
-
-impl Link {
-    /// Streams that it still has to give.
-    fn free(&self, streams: usize) -> usize {
-        if self.retired.get() { 0 } else { streams.saturating_sub(self.out.borrow().len()) }
-    }
-
-    fn retire(&self) {
-        self.retired.set(true);
-        self.settle();
-    }
-
-    /// A retired connection closes once nothing is out on it.
-    fn settle(&self) {
-        if self.retired.get() && self.out.borrow().is_empty() {
-            self.outbox.close();
-        }
-    }
-
-    /// Cancels what is out, and asks for a page of it: the engine answers that it knows of no such thing once
-    /// it has read the cancel. Until then the batch may not be out elsewhere, on whatever connection, as
-    /// connections are not all alike in speed. Yields an outcome that is known at once.
-    fn give_up(&self, id: &Arc<str>) -> Option<Outcome> {
-        let mut all = self.out.borrow_mut();
-        let out = all.get_mut(id)?;
-        let (message, next) = match out.kind {
-            OutKind::GivenUp(_) => return None,
-            // Nothing tells of these but their answer.
-            OutKind::Probe => (String::new(), None),
-            // The engine has written its end; only pages are left.
-            OutKind::Batch(Some(_)) => (engine::release(id), None),
-            OutKind::Batch(None) => {
-                (engine::cancel(id) + &engine::read(id, 1), Some(OutKind::GivenUp(Instant::now())))
-            }
-        };
-        if self.outbox.push(message.as_bytes()).is_err() {
-            self.outbox.close(); // What is out is over by how far it had come.
-            return None;
-        }
-        match next {
-            Some(kind) => {
-                out.kind = kind;
-                None
-            }
-            None => all.remove(id).map(|_| Outcome::Cancelled),
-        }
-    }
-
-    /// What was cancelled long ago with no sign that the engine has read it: nothing more is known of it, and
-    /// the connection takes nothing new.
-    fn unconfirmed(&self, limit: Duration) -> Vec<Token> {
-        let mut all = self.out.borrow_mut();
-        let late = |out: &Out| matches!(out.kind, OutKind::GivenUp(at) if at.elapsed() > limit);
-        let tokens: Vec<Token> = all.extract_if(.., |_, out| late(out)).map(|(_, out)| out.token).collect();
-        if !tokens.is_empty() {
-            self.retired.set(true);
-        }
-        tokens
-    }
-
-    /// What an answer means for what is out; an answer that belongs to nothing ends the connection.
-    fn hear(&self, answer: Answer) -> Result<Option<(Token, Heard)>, Malformed> {
-        let load = answer.load.map(|values| {
-            self.shared.fields.named(values.iter().map(|(name, value)| (name.as_str(), *value)))
-        });
-        let mut all = self.out.borrow_mut();
-        let Some((id, out)) =
-            all.get_key_value(answer.id.as_str()).map(|(id, _)| id.clone()).and_then(|id| {
-                let out = all.get_mut(&id)?;
-                Some((id, out))
-            })
-        else {
-            // It has been given up meanwhile: what it holds there is let go.
-            return match (self.carried.borrow().contains(answer.id.as_str()), answer.word) {
-                (false, _) => Err(Malformed::Word),
-                (true, Word::Hit { pages, .. }) if pages > 1 => {
-                    let _ = self.outbox.push(engine::release(&answer.id).as_bytes());
-                    Ok(None)
-                }
-                (true, _) => Ok(None),
-            };
-        };
-        let token = out.token;
-        let over =
-            |outcome| Some((token, Heard::Ended { token, outcome, cost: None, load, rows: Vec::new() }));
-        let heard = match (&mut out.kind, answer.word) {
-            (OutKind::Probe, Word::Pong) => Some((token, Heard::Probed { token, answered: true, load })),
-            (OutKind::Probe, Word::Sick) => Some((token, Heard::Probed { token, answered: false, load })),
-            (OutKind::Batch(_), Word::Info(note)) => {
-                return Ok(note.map(|note| (token, Heard::Noted { token, note: noted(note) })));
-            }
-            (OutKind::GivenUp(_), Word::Info(_)) => return Ok(None),
-            (OutKind::GivenUp(_), Word::Fault | Word::Part { .. }) => over(Outcome::Cancelled),
-            (OutKind::GivenUp(_), Word::Hit { pages, .. }) if pages > 1 => return Ok(None),
-            (OutKind::GivenUp(_), Word::Hit { cost, .. }) => {
-                let (outcome, rows, cost) = (Outcome::Returned, answer.body, cost.map(took));
-                Some((token, Heard::Ended { token, outcome, cost, load, rows }))
-            }
-            (OutKind::Batch(None) | OutKind::GivenUp(_), Word::Shed) => over(Outcome::Full),
-            (OutKind::Batch(None) | OutKind::GivenUp(_), Word::Late) => over(Outcome::NotSent),
-            (OutKind::Batch(_), Word::Fault) => over(Outcome::Errored),
-            (OutKind::Batch(pages @ None), Word::Hit { pages: count, cost }) => {
-                let cost = cost.map(took);
-                if count == 1 {
-                    let (outcome, rows) = (Outcome::Returned, answer.body);
-                    Some((token, Heard::Ended { token, outcome, cost, load, rows }))
-                } else if count > MOST_PAGES {
-                    let _ = self.outbox.push(engine::release(&id).as_bytes());
-                    over(Outcome::Errored)
-                } else {
-                    let ask: String = (1..count).map(|page| engine::read(&id, page)).collect();
-                    let mut all = vec![None; count];
-                    let bytes = answer.body.len();
-                    all[0] = Some(answer.body);
-                    *pages = Some(Pages { pages: all, missing: count - 1, bytes, cost, load });
-                    if self.outbox.push(ask.as_bytes()).is_err() {
-                        return Err(Malformed::Length);
-                    }
-                    return Ok(None);
-                }
-            }
-            (OutKind::Batch(Some(pages)), Word::Part { page }) => {
-                let place = pages.pages.get_mut(page).filter(|page| page.is_none());
-                *place.ok_or(Malformed::Field)? = Some(answer.body);
-                pages.missing -= 1;
-                pages.bytes += pages.pages[page].as_ref().map_or(0, Vec::len);
-                if pages.bytes > LARGEST_RESULT {
-                    let _ = self.outbox.push(engine::release(&id).as_bytes());
-                    over(Outcome::Errored)
-                } else if pages.missing > 0 {
-                    return Ok(None);
-                } else {
-                    let _ = self.outbox.push(engine::release(&id).as_bytes());
-                    let rows = pages.pages.iter_mut().filter_map(Option::take).flatten().collect();
-                    let (outcome, cost, load) = (Outcome::Returned, pages.cost, pages.load);
-                    Some((token, Heard::Ended { token, outcome, cost, load, rows }))
-                }
-            }
-            _ => return Err(Malformed::Word),
-        };
-        all.remove(&id);
-        Ok(heard)
-    }
-}
-
-fn took((work_ms, memory_mb): (f64, f64)) -> Cost {
-    Cost { work: Duration::from_secs_f64(work_ms.min(1e9) / 1e3), memory_mb }
-}
-
-fn noted(note: engine::Note) -> Note {
-    match note {
-        engine::Note::Advance(share) => Note::Progress(share),
-        engine::Note::Disk(memory_mb) => Note::Spills(memory_mb),
-        engine::Note::StallForMemory => Note::WaitsForMemory,
-        engine::Note::StallForLoad => Note::WaitsForLoad,
-    }
-}
--- a/crates/front/src/program/start.rs
+++ b/crates/front/src/program/start.rs
@@ -4,7 +4,7 @@
 use crate::protocol;
 use crate::protocol::channel::News;
 use crate::routing::{Clock, Counters, Heard, Limits, Owner};
-use crate::transport;
+use crate::transport::{self, Pulse};
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
@@ -24,6 +24,7 @@
 const STILL_COMING: Duration = Duration::from_millis(600); // So long after the signal batches still come.
 
 // Bounds of this program.
+const PULSE: Duration = Duration::from_millis(10);
 const QUEUE: usize = 4096;
 const BACKLOG: i32 = 4096;
 const CLOSING_MARGIN: Duration = Duration::from_millis(250); // Answers are on their way before the kill.
@@ -81,6 +82,7 @@
     /// Bytes of answers that wait for clients to read them, and how many may.
     pub unwritten: std::cell::Cell<usize>,
     pub most_unwritten: usize,
+    pub pulse: Pulse,
     /// Descriptors that clients may hold, and connections to one engine.
     pub clients: usize,
     pub per_engine: usize,
@@ -126,6 +128,7 @@
         most_unwritten: told.limits.memory_mb * 1024 * 1024 / ANSWER_SHARE,
         clients: third + third / 2,
         per_engine: third / 32,
+        pulse: Pulse::new(PULSE),
         connect_timeout: span(told.settings.ceilings.connect_timeout_us),
         settled: told.settings,
     });
@@ -138,6 +141,7 @@
         executor.spawn(engines::run(shared.clone(), ordered)).detach();
         executor.spawn(channel::run(shared.clone(), told.channel, known)).detach();
         executor.spawn(clients::run(shared.clone(), listener)).detach();
+        executor.spawn(beat(shared.clone())).detach();
         let by = LONGEST_CLOSING.min(longest) + CLOSING_GRACE - CLOSING_MARGIN;
         let told_at = wait_for_end(signals, &counters).await;
         shared.closing.set(true);
@@ -154,6 +158,13 @@
     Ok(())
 }
 
+async fn beat(shared: Rc<Shared>) {
+    loop {
+        Timer::after(shared.pulse.period()).await;
+        shared.pulse.beat(Instant::now());
+    }
+}
+
 /// How long ago the first of the engines started that are still cold. The clock's origin lies before that, and
 /// no earlier: the gateway's first values fade from the origin on.
 fn oldest_cold(known: &[News], cold_for: Duration) -> Duration {
--- a/crates/front/src/protocol/client.rs
+++ b/crates/front/src/protocol/client.rs
@@ -74,15 +74,16 @@
     let batch = || {
         let params = params?;
         let call = params.get("call")?.text()?;
-        let hex = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
         let repeat = match params.get("rep") {
             None | Some(Value::Null) => false,
+            Some(Value::Bool(mark)) => *mark,
             Some(value) => value.whole()? > 0,
         };
         Some(Batch {
             id,
             method: method.to_owned(),
-            call: (call.len() == 16 && call.bytes().all(hex)).then(|| call.to_owned())?,
+            call: (call.len() == 16 && call.bytes().all(|b| b.is_ascii_hexdigit()))
+                .then(|| call.to_owned())?,
             ttl_ms: params.get("ttl")?.whole()?,
             repeat,
             statement: STANDARD.decode(params.get("data")?.text()?).ok()?,
--- a/crates/front/src/transport/mod.rs
+++ b/crates/front/src/transport/mod.rs
@@ -2,8 +2,10 @@
 //! connection is cut into messages by a function that the caller brings.
 
 mod outbox;
+mod pulse;
 
 pub use outbox::Outbox;
+pub use pulse::Pulse;
 
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, FutureExt, Stream, stream};
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -143,6 +143,32 @@
     assert_eq!(engine.next("cancel").id, call);
 }
 
+#[test]
+fn a_client_that_closes_only_its_side_still_gets_an_answer() {
+    let (front, engine, _commands) = one();
+    let mut client = front.client();
+    let call = client.ask(1, "load");
+    engine.next("serve");
+    client.wire.shutdown(std::net::Shutdown::Write).unwrap();
+    assert_ne!(client.error(Some(1)), -32002);
+    assert_eq!(client.next(), None);
+    assert_eq!(engine.next("cancel").id, call);
+}
+
+#[test]
+fn time_in_which_the_front_does_not_run_is_lost_to_its_clients() {
+    let (front, engine, _commands) = one();
+    let mut client = front.client();
+    assert!(client.fit());
+    front.signal("STOP");
+    client.ask(1, "look-up");
+    std::thread::sleep(PAUSE * 4);
+    front.signal("CONT");
+    let serve = engine.next("serve");
+    let budget = serve.rest.split(',').find_map(|field| field.strip_prefix("budget=")).unwrap();
+    assert!(budget.parse::<u128>().unwrap() <= 20_000 - (PAUSE * 3).as_millis(), "{budget}");
+}
+
 /// The engine is told twice over different connections, and the second may overtake the cancel of the first.
 #[test]
 fn a_batch_is_not_out_again_before_its_engine_has_read_the_cancel() {
