--- a/crates/front/src/program/channel.rs
+++ b/crates/front/src/program/channel.rs
@@ -33,7 +33,9 @@
     loop {
         let last = follower.last;
         let error = follower.follow(address, &mut wait).await;
-        log::warn!("command channel: {error}; asking again from event {last} on");
+        // Once a loss; while it lasts, each try only at debug.
+        let level = if wait == FIRST_WAIT { log::Level::Warn } else { log::Level::Debug };
+        log::log!(level, "command channel: {error}; asking again from event {last} on");
         Timer::after(wait.mul_f64(0.5 + fastrand::f64())).await;
         wait = (wait * 2).min(LONGEST_WAIT);
     }
