--- a/crates/front/src/program/clients.rs
+++ b/crates/front/src/program/clients.rs
@@ -142,6 +142,7 @@
                 }
                 Ok(Message::Revoke(ticket)) => {
                     let left = self.open.borrow_mut().remove(&ticket);
+                    log::debug!("request {ticket} revoked, batch {left:?}");
                     if let Some(batch) = left {
                         let left = Heard::Left { asker: self.clone(), ticket, batch };
                         let _ = self.shared.queue.send(left).await;
