--- a/crates/front/src/program/engines/link.rs
+++ b/crates/front/src/program/engines/link.rs
@@ -226,7 +226,10 @@
             }
             (OutKind::GivenUp(_), Word::Info(_)) => return Ok(None),
             (OutKind::GivenUp(_), Word::Fault | Word::Part { .. }) => over(Outcome::Cancelled),
-            (OutKind::GivenUp(_), Word::Hit { pages, .. }) if pages > 1 => return Ok(None),
+            (OutKind::GivenUp(_), Word::Hit { pages, .. }) if pages > 1 => {
+                let _ = self.outbox.push(engine::release(&id).as_bytes());
+                return Ok(None);
+            }
             (OutKind::GivenUp(_), Word::Hit { cost, .. }) => {
                 let (outcome, rows, cost) = (Outcome::Returned, answer.body, cost.map(took));
                 Some((token, Heard::Ended { token, outcome, cost, load, rows }))
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -143,6 +143,92 @@
     assert_eq!(engine.next("cancel").id, call);
 }
 
+/// Each of the ends of a dispatch that may cross another: the first counts, and the second harms nothing.
+#[test]
+fn a_reset_that_crosses_a_cancel_is_the_end_of_the_dispatch() {
+    let (front, engine, _commands) = one();
+    let mut client = front.client();
+    client.ask(1, "look-up");
+    let serve = engine.next("serve");
+    std::thread::sleep(PAUSE);
+    serve.answer("INFO", "detail=advance,figure=0.001", b"");
+    serve.hang_up();
+    let code = client.error(Some(1)); // The engine rests; the batch is pushed back once it starts too late.
+    assert_eq!(code, -32002);
+    assert!(client.fit());
+}
+
+#[test]
+fn an_answer_after_the_time_limit_reaches_nobody() {
+    let (front, engine, _commands) = one();
+    let mut client = front.client();
+    let call = client.ask_for(1, "look-up", 300);
+    let serve = engine.next("serve");
+    assert_eq!(client.error(Some(1)), -32002); // In time, though the engine has said nothing.
+    assert_eq!(engine.next("cancel").id, call);
+    serve.answer("HIT", "fetches=3", b"late\t\t\n");
+    engine.next("read behind cancel").answer("FAULT", "-", b"");
+    assert_eq!(engine.next("release").id, call);
+    client.ask(2, "look-up");
+    let again = engine.next("serve");
+    assert_eq!(again.from(), serve.from()); // The connection has stood it.
+    again.answer("HIT", "fetches=1", b"");
+    client.returned(2, b"");
+}
+
+#[test]
+fn a_lost_page_ends_a_batch_that_may_run_again_elsewhere() {
+    let (front, [(_, first), (_, second)], _commands) = two();
+    let mut client = front.client();
+    client.ask(2, "look-up");
+    let serve = first.next("serve");
+    serve.answer("HIT", "fetches=2", b"a\tb\tc\n");
+    first.next("read");
+    serve.answer("FAULT", "-", b"");
+    second.next("serve").answer("HIT", "fetches=1", b"d\te\tf\n");
+    client.returned(2, b"d\te\tf\n");
+}
+
+#[test]
+fn results_without_end_and_pages_out_of_place_are_kept_from_clients() {
+    let (front, engine, _commands) = one();
+    let mut client = front.client();
+    for (id, pages, page) in [(1, 9, "fetch_no=1"), (2, 9999, ""), (3, 3, "fetch_no=7")] {
+        client.ask(id, "load");
+        let serve = engine.next("serve");
+        let large = [b'x'; 40_000];
+        serve.answer("HIT", &format!("fetches={pages}"), &large);
+        if !page.is_empty() {
+            (1..pages).for_each(|_| drop(engine.next("read")));
+            serve.answer("PART", page, &large);
+        }
+        let code = client.error(Some(id));
+        assert!(code != -32002, "{pages}: {code}");
+        if id < 3 {
+            engine.next("release");
+        }
+    }
+}
+
+#[test]
+fn a_client_that_does_not_read_delays_nobody_and_loses_nothing() {
+    let (front, engine, _commands) = one();
+    let (mut slow, mut quick) = (front.client(), front.client());
+    let rows = [b'r'; 47_000];
+    // More than the system holds for a connection that is not read.
+    for id in 1..=32 {
+        slow.ask(id, "look-up");
+        let serve = engine.next("serve");
+        serve.answer("HIT", "fetches=1", &rows);
+    }
+    quick.ask(1, "look-up");
+    engine.next("serve").answer("HIT", "fetches=1", b"");
+    quick.returned(1, b"");
+    for id in 1..=32 {
+        slow.returned(id, &rows);
+    }
+}
+
 #[test]
 fn a_client_that_closes_only_its_side_still_gets_an_answer() {
     let (front, engine, _commands) = one();
--- a/crates/front/tests/stand/mod.rs
+++ b/crates/front/tests/stand/mod.rs
@@ -155,10 +155,15 @@
 
     /// Asks under an id that makes the call as well; the call is returned.
     pub fn ask(&mut self, id: u64, method: &str) -> String {
+        self.ask_for(id, method, 20_000)
+    }
+
+    /// The same, with so many milliseconds of patience.
+    pub fn ask_for(&mut self, id: u64, method: &str, ttl: u64) -> String {
         let call = format!("{:08x}{id:08x}", self.wire.local_addr().unwrap().port());
         let tables = if method == "load" { "sales_3.orders" } else { "sales_17.orders" };
         let data = base64(format!("select * from {tables}").as_bytes());
-        let params = json!({"call": call, "ttl": 20_000, "data": data});
+        let params = json!({"call": call, "ttl": ttl, "data": data});
         self.write(&json!({"jsonrpc": "2.0", "id": id, "method": method, "params": params}).to_string());
         call
     }
