--- a/crates/front/src/program/clients.rs
+++ b/crates/front/src/program/clients.rs
@@ -1,4 +1,4 @@
-//! Client connections: requests are read as they come and put into the owner's queue; answers go out as the
+//! Client connections: batches are read as they come and put into the owner's queue; answers go out as the
 //! owner gives them.
 
 use super::start::Shared;
@@ -142,7 +142,7 @@
                 }
                 Ok(Message::Revoke(ticket)) => {
                     let left = self.open.borrow_mut().remove(&ticket);
-                    log::debug!("request {ticket} revoked, batch {left:?}");
+                    log::debug!("ticket {ticket} revoked, batch {left:?}");
                     if let Some(batch) = left {
                         let left = Heard::Left { asker: self.clone(), ticket, batch };
                         let _ = self.shared.queue.send(left).await;
@@ -187,8 +187,8 @@
     }
 
     fn fault(&self, fault: Fault) {
-        self.shared.counters.add(Kind::Refused, None);
-        log::debug!("a client's line is no request: {fault:?}");
+        self.shared.counters.add(Kind::Faulty, None);
+        log::debug!("a client's line is faulty: {fault:?}");
         self.write(&client::fault(&fault));
     }
 
--- a/crates/front/src/program/engines/mod.rs
+++ b/crates/front/src/program/engines/mod.rs
@@ -200,7 +200,7 @@
                 let class = self.shared.settled.classes.get(*service_group);
                 let terms = Terms {
                     queue: class.map_or("", |class| &class.name),
-                    budget_ms: patience.as_millis() as u64,
+                    budget_ms: (patience.as_millis() as u64).max(1),
                     weight: *priority,
                     workmem: memory_mb.max(0.0) as u64,
                 };
--- a/crates/front/src/protocol/client.rs
+++ b/crates/front/src/protocol/client.rs
@@ -1,6 +1,6 @@
 //! What clients say and are told: JSON-RPC 2.0, one message a line, no batches of messages.
 //!
-//! Seen from clients: `revoke` comes as a notification that names the request's id in its params.
+//! Seen from clients: `revoke` comes as a notification that names the batch's id in its params.
 
 use super::json::{self, Value};
 use base64::Engine as _;
@@ -13,7 +13,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub enum Message {
     Batch(Batch),
-    /// The client no longer waits for the request with this id.
+    /// The client no longer waits for the batch under this id.
     Revoke(u64),
     Heartbeat(u64),
 }
--- a/crates/front/src/protocol/statement.rs
+++ b/crates/front/src/protocol/statement.rs
@@ -77,7 +77,7 @@
 struct Level {
     /// The next name is a table's.
     expects: bool,
-    /// It holds a query, so that its FROM names tables.
+    /// It holds a SELECT or the like, so that its FROM names tables.
     reads: bool,
     /// A comma is followed by a further table.
     lists: bool,
--- a/crates/front/src/routing/owner.rs
+++ b/crates/front/src/routing/owner.rs
@@ -411,8 +411,8 @@
 
     fn hand_over(&mut self) {
         while let Some(order) = self.late.pop_front() {
-            if let Err(refused) = self.orders.try_send(order) {
-                self.late.push_front(refused.into_inner());
+            if let Err(full) = self.orders.try_send(order) {
+                self.late.push_front(full.into_inner());
                 self.wakes.insert(self.clock.now() + self.stated.tick);
                 return;
             }
