One timer for the owner, set only when its date changes

The owner made a timer at each turn, and each one earlier than all others wakes the reactor once more.

--- a/crates/front/src/routing/owner.rs
+++ b/crates/front/src/routing/owner.rs
@@ -74,6 +74,8 @@
     /// When the gateway decided last, and whether it has heard anything since.
     decided: Duration,
     undecided: bool,
+    timer: Timer,
+    armed: Option<Duration>,
 }
 
 impl Owner {
@@ -105,6 +107,8 @@
             late: VecDeque::new(),
             decided: Duration::ZERO,
             undecided: false,
+            timer: Timer::never(),
+            armed: None,
         }
     }
 
@@ -139,22 +143,28 @@
     }
 
     /// The next that is heard, or nothing if something is due before.
-    async fn wait(&self, queue: &Receiver<Heard>) -> Option<Result<Heard, async_channel::RecvError>> {
+    async fn wait(&mut self, queue: &Receiver<Heard>) -> Option<Result<Heard, async_channel::RecvError>> {
         let decision = self.undecided.then_some(self.decided + self.stated.tick);
         let wake = self.wakes.first().copied();
         let due = wake.into_iter().chain(self.due.first().map(|d| d.0)).chain(decision).min();
         let heard = async { Some(queue.recv().await) };
-        match due {
-            Some(due) => {
-                let at = self.clock.instant(due);
-                let timer = async {
-                    Timer::at(at).await;
-                    None
-                };
-                heard.or(timer).await
+        // One timer, set anew only when the date changes: each setting may cost a turn of the reactor.
+        if due != self.armed {
+            self.armed = due;
+            match due {
+                Some(due) => self.timer.set_at(self.clock.instant(due)),
+                None => self.timer = Timer::never(),
             }
-            None => heard.await,
         }
+        let fired = async {
+            (&mut self.timer).await;
+            None
+        };
+        let heard = heard.or(fired).await;
+        if heard.is_none() {
+            self.armed = None;
+        }
+        heard
     }
 
     /// Tells the gateway all that was heard and is due. It decides once a tick at most, as what comes together
