--- a/crates/front/src/routing/counters.rs
+++ b/crates/front/src/routing/counters.rs
@@ -1,7 +1,8 @@
 use lemonusher::Outcome;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fmt;
+use std::time::Duration;
 
 /// What is counted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -29,16 +30,22 @@
 pub struct Counters {
     names: Vec<String>,
     counts: RefCell<BTreeMap<(Kind, Option<usize>), u64>>,
+    /// Time that the gateway has taken to decide.
+    gateway: Cell<Duration>,
 }
 
 impl Counters {
     pub fn new(service_groups: Vec<String>) -> Self {
-        Counters { names: service_groups, counts: RefCell::default() }
+        Counters { names: service_groups, counts: RefCell::default(), gateway: Cell::default() }
     }
 
     pub fn add(&self, kind: Kind, service_group: Option<usize>) {
         *self.counts.borrow_mut().entry((kind, service_group)).or_default() += 1;
     }
+
+    pub fn gateway_took(&self, span: Duration) {
+        self.gateway.set(self.gateway.get() + span);
+    }
 }
 
 impl fmt::Display for Counters {
@@ -56,7 +63,7 @@
                 None => write!(f, " {count}")?,
             }
         }
-        Ok(())
+        write!(f, "; gateway decided for {} ms", self.gateway.get().as_millis())
     }
 }
 
--- a/crates/front/src/routing/owner.rs
+++ b/crates/front/src/routing/owner.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Events heard in one turn before the gateway decides.
 const MOST_IN_A_TURN: usize = 1024;
@@ -191,7 +191,10 @@
             return;
         }
         (self.decided, self.undecided) = (now, false);
-        for action in self.gateway.decide(now) {
+        let from = Instant::now();
+        let actions = self.gateway.decide(now);
+        self.counters.gateway_took(from.elapsed());
+        for action in actions {
             self.carry_out(now, action);
         }
     }
