SIGHUP has the file read anew and the channel followed at its new address

Checked: start.rs watched TERM, INT and USR1 only, so SIGHUP had its default action. The channel's address was read once. Now the file is read anew: another channel is followed at once from the last event, in the midst of whatever the follower waits for; what else has changed waits for the next start, and a file that can't be used changes nothing, each with a line in the log. An event counts as had only once it has been told, as the follower may be dropped while it waits. The channel counts as silent after 1.8 s without a whole frame (was 3 s without a byte, and up to 0.6 s between tries, of the 4 s after which what it tells counts as told); tries come every 0.3 s at the latest. transport: the limit on silence became one on the time from a message's first byte to its last, for clients 2 s, for engines two connect time-outs.

--- a/crates/front/src/program/channel.rs
+++ b/crates/front/src/program/channel.rs
@@ -5,8 +5,9 @@
 use crate::protocol::channel::{self, LONGEST_FRAME, Member, News, State};
 use crate::routing::{Heard, Listed};
 use crate::transport::{self, within};
+use async_channel::Receiver;
 use async_io::Timer;
-use futures_lite::{AsyncWriteExt, StreamExt};
+use futures_lite::{AsyncWriteExt, FutureExt, StreamExt};
 use lemonusher::{EngineState, RosterKind};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -14,9 +15,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-const SILENCE: Duration = Duration::from_millis(3000); // An empty frame comes each second.
+// A frame comes each second, if only an empty one. What the channel would have told counts as told four
+// seconds after it fell silent, and two after it broke off: by then it has been asked again, more than once.
+const SILENCE: Duration = Duration::from_millis(1800);
 const FIRST_WAIT: Duration = Duration::from_millis(50);
-const LONGEST_WAIT: Duration = Duration::from_millis(400);
+const LONGEST_WAIT: Duration = Duration::from_millis(200);
 
 struct Follower {
     shared: Rc<Shared>,
@@ -24,20 +27,35 @@
     left_out: BTreeSet<u32>,
 }
 
-pub async fn run(shared: Rc<Shared>, address: SocketAddr, known: (u64, Vec<News>)) {
+/// Follows the channel at the latest of these addresses, on from the last event that it has told.
+pub async fn run(shared: Rc<Shared>, addresses: Receiver<SocketAddr>, known: (u64, Vec<News>)) {
     let mut follower = Follower { shared, last: known.0, left_out: BTreeSet::new() };
     for news in known.1 {
         follower.tell(news, RosterKind::Restored).await;
     }
-    let mut wait = FIRST_WAIT;
+    let (mut address, mut wait) = (None, FIRST_WAIT);
     loop {
-        let last = follower.last;
-        let error = follower.follow(address, &mut wait).await;
-        // Once a loss; while it lasts, each try only at debug.
-        let level = if wait == FIRST_WAIT { log::Level::Warn } else { log::Level::Debug };
-        log::log!(level, "command channel: {error}; asking again from event {last} on");
-        Timer::after(wait.mul_f64(0.5 + fastrand::f64())).await;
-        wait = (wait * 2).min(LONGEST_WAIT);
+        // What stands here may be dropped at any point where it waits.
+        let stay = async {
+            let Some(address) = address else { return std::future::pending().await };
+            let error = follower.follow(address, &mut wait).await;
+            // Once a loss; while it lasts, each try only at debug.
+            let level = if wait == FIRST_WAIT { log::Level::Warn } else { log::Level::Debug };
+            log::log!(level, "command channel: {error}; asking again from event {} on", follower.last);
+            Timer::after(wait.mul_f64(0.5 + fastrand::f64())).await;
+            wait = (wait * 2).min(LONGEST_WAIT);
+            Some(address)
+        };
+        let moves = async {
+            match addresses.recv().await {
+                Ok(address) => Some(address),
+                Err(_) => std::future::pending().await, // The front ends.
+            }
+        };
+        let next = moves.or(stay).await;
+        if next != address {
+            (address, wait) = (next, FIRST_WAIT);
+        }
     }
 }
 
@@ -55,8 +73,10 @@
             Some(Err(error)) => return error.to_string(),
             None => return "takes nothing".to_owned(),
         }
-        let mut frames = pin!(transport::messages(wire, LONGEST_FRAME, Some(SILENCE), channel::cut));
-        while let Some(frame) = frames.next().await {
+        let mut frames = pin!(transport::messages(wire, LONGEST_FRAME, SILENCE, channel::cut));
+        loop {
+            let Some(next) = within(SILENCE, frames.next()).await else { return "fell silent".to_owned() };
+            let Some(frame) = next else { return "closed".to_owned() };
             let frame = match frame {
                 Ok(frame) => frame,
                 Err(error) => return error.to_string(),
@@ -69,10 +89,9 @@
             if frame.number > self.last + 1 && !whole {
                 return format!("event {} came after {}", frame.number, self.last);
             }
-            self.last = frame.number;
             self.tell(frame.news, RosterKind::Full).await;
+            self.last = frame.number; // Only now: this may be dropped while it waits.
         }
-        "closed".to_owned()
     }
 
     async fn tell(&mut self, news: News, whole: RosterKind) {
--- a/crates/front/src/program/clients.rs
+++ b/crates/front/src/program/clients.rs
@@ -20,6 +20,7 @@
 const MOST_OPEN: usize = 32;
 const OUTBOX: usize = MOST_OPEN * 96 * 1024; // An answer to each open batch fits, however large.
 const STALL: Duration = Duration::from_secs(10); // A client that reads nothing for so long has gone.
+const SLOW: Duration = Duration::from_secs(2); // A line takes no longer to come.
 const QUIET: Duration = Duration::from_secs(1); // Between two warnings of one kind.
 const NO_DESCRIPTOR: Duration = Duration::from_millis(20);
 
@@ -132,7 +133,7 @@
 
     async fn read(self: &Rc<Self>) -> Result<(), Broken<std::convert::Infallible>> {
         let wire = self.outbox.wire();
-        let mut lines = pin!(transport::messages(wire, LONGEST_LINE, None, client::cut));
+        let mut lines = pin!(transport::messages(wire, LONGEST_LINE, SLOW, client::cut));
         while let Some(message) = lines.next().await {
             self.used.set(Instant::now());
             match message? {
--- a/crates/front/src/program/engines/mod.rs
+++ b/crates/front/src/program/engines/mod.rs
@@ -336,7 +336,9 @@
     }
 
     async fn read(self: &Rc<Self>, link: &Rc<Link>) -> Result<(), Broken<Malformed>> {
-        let mut answers = pin!(transport::messages(link.outbox.wire(), LONGEST_ANSWER, None, engine::cut));
+        // An engine writes an answer in one go: one that stops short keeps all else from this connection.
+        let whole = self.shared.connect_timeout * 2;
+        let mut answers = pin!(transport::messages(link.outbox.wire(), LONGEST_ANSWER, whole, engine::cut));
         while let Some(answer) = answers.next().await {
             let answer = answer?;
             if let Some((token, heard)) = link.hear(answer).map_err(Broken::Bad)? {
--- a/crates/front/src/program/start.rs
+++ b/crates/front/src/program/start.rs
@@ -11,6 +11,7 @@
 use futures_lite::StreamExt;
 use lemonusher_stated::{LoadFields, Settled, deployment, span};
 use serde::Deserialize;
+use serde_json::Value;
 use serde_json::value::RawValue;
 use std::fmt;
 use std::io;
@@ -40,10 +41,10 @@
     limits: ToldLimits,
     channel: SocketAddr,
     known: Box<RawValue>,
-    settings: Settled,
+    settings: Value,
 }
 
-#[derive(Deserialize)]
+#[derive(Deserialize, PartialEq)]
 struct ToldLimits {
     memory_mb: usize,
     sockets: usize,
@@ -71,6 +72,25 @@
     }
 }
 
+impl Told {
+    fn read(path: &str) -> Result<Told, Unfit> {
+        let text = std::fs::read_to_string(path).map_err(|e| Unfit::Unreadable(path.to_owned(), e))?;
+        serde_json::from_str(&text).map_err(|e| Unfit::Malformed(path.to_owned(), e.to_string()))
+    }
+
+    /// What stands otherwise in a newer file and waits for the next start. The list of engines is no part of
+    /// that: the channel goes on from the last event.
+    fn waits(&self, newer: &Told) -> String {
+        let same = [
+            ("name", self.name == newer.name),
+            ("listen", self.listen == newer.listen),
+            ("limits", self.limits == newer.limits),
+            ("settings", self.settings == newer.settings),
+        ];
+        same.into_iter().filter(|(_, same)| !same).map(|(name, _)| name).collect::<Vec<_>>().join(", ")
+    }
+}
+
 /// What all parts share.
 pub struct Shared {
     pub settled: Settled,
@@ -91,35 +111,38 @@
 
 /// Serves until told to end.
 pub fn run() -> Result<(), Unfit> {
+    // Watched from the first on: a signal that comes during the start is heard after it.
+    let watched = [Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup];
+    let mut signals = Signals::new(watched).map_err(Unfit::Signals)?;
     let path = std::env::var("PROXY_CONFIG").map_err(|_| Unfit::Missing("PROXY_CONFIG"))?;
-    let text = std::fs::read_to_string(&path).map_err(|e| Unfit::Unreadable(path.clone(), e))?;
-    let told: Told =
-        serde_json::from_str(&text).map_err(|e| Unfit::Malformed(path.clone(), e.to_string()))?;
+    let mut told = Told::read(&path)?;
     let malformed = |what: String| Unfit::Malformed(path.clone(), what);
+    let settled = Settled::deserialize(&told.settings).map_err(|e| malformed(e.to_string()))?;
     let seed =
         u64::from_str_radix(&told.seed, 16).map_err(|_| malformed("'seed' is no hex number".into()))?;
-    let known = protocol::channel::known(told.known.get(), &told.settings.areas, &told.settings.kinds)
+    let known = protocol::channel::known(told.known.get(), &settled.areas, &settled.kinds)
         .map_err(|e| malformed(e.to_string()))?;
-    let stated = deployment(&told.settings);
+    let stated = deployment(&settled);
     let listener = transport::listen(told.listen, BACKLOG).map_err(|e| Unfit::Listen(told.listen, e))?;
-    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Usr1]).map_err(Unfit::Signals)?;
 
     let longest = stated.service_groups.iter().map(|t| t.time_limit).max().unwrap_or_default();
     let clock = Clock::starting(oldest_cold(&known.1, stated.duties.cold_for) + stated.tick);
-    let names = told.settings.classes.iter().map(|class| class.name.clone()).collect();
+    let names = settled.classes.iter().map(|class| class.name.clone()).collect();
     let counters = Rc::new(Counters::new(names));
     let (queue, heard) = async_channel::bounded(QUEUE);
     let (orders, ordered) = async_channel::bounded(QUEUE);
+    let (moved, addresses) = async_channel::bounded(1); // Only the latest counts.
+    let _ = moved.try_send(told.channel);
     let executor = Rc::new(LocalExecutor::new());
     let limits = Limits {
-        open: told.settings.ceilings.open_cap.max(1),
+        open: settled.ceilings.open_cap.max(1),
         bytes: told.limits.memory_mb * 1024 * 1024 / STATEMENT_SHARE,
         probe: stated.permits.connect_timeout,
     };
     // Clients hold a third at most; engines share another, and the rest is for all else.
     let third = told.limits.sockets / 3;
     let shared = Rc::new(Shared {
-        fields: LoadFields::of(&told.settings),
+        fields: LoadFields::of(&settled),
         counters: counters.clone(),
         queue: queue.clone(),
         executor: executor.clone(),
@@ -129,8 +152,8 @@
         clients: third + third / 2,
         per_engine: third / 32,
         pulse: Pulse::new(PULSE),
-        connect_timeout: span(told.settings.ceilings.connect_timeout_us),
-        settled: told.settings,
+        connect_timeout: span(settled.ceilings.connect_timeout_us),
+        settled,
     });
     let address = listener.get_ref().local_addr().map_err(|e| Unfit::Listen(told.listen, e))?;
     log::info!("front {} listens on {address}, {} engine events known", told.name, known.1.len());
@@ -139,11 +162,12 @@
     let start = async {
         executor.spawn(owner.run(heard)).detach();
         executor.spawn(engines::run(shared.clone(), ordered)).detach();
-        executor.spawn(channel::run(shared.clone(), told.channel, known)).detach();
+        executor.spawn(channel::run(shared.clone(), addresses, known)).detach();
         executor.spawn(clients::run(shared.clone(), listener)).detach();
         executor.spawn(beat(shared.clone())).detach();
         let by = LONGEST_CLOSING.min(longest) + CLOSING_GRACE - CLOSING_MARGIN;
-        let told_at = wait_for_end(signals, &counters).await;
+        let reload = || reload(&path, &mut told, &moved);
+        let told_at = wait_for_end(&mut signals, &counters, reload).await;
         shared.closing.set(true);
         let _ = queue.send(Heard::Closing(by)).await;
         // Batches come for a while yet; all that has come is answered and written before the end.
@@ -177,11 +201,28 @@
     ages.filter(|age| *age < cold_for).max().unwrap_or_default()
 }
 
-/// Waits for the signal to end; prints the counters on the other one.
-async fn wait_for_end(mut signals: Signals, counters: &Counters) -> Instant {
+/// Takes up the channel of a newer file. One that can't be used leaves all as it is.
+fn reload(path: &str, told: &mut Told, moved: &async_channel::Sender<SocketAddr>) {
+    let newer = match Told::read(path) {
+        Ok(newer) => newer,
+        Err(unfit) => return log::warn!("reload: {unfit}; all stays as it is"),
+    };
+    let waits = told.waits(&newer);
+    if !waits.is_empty() {
+        log::warn!("reload: taken up only at the next start: {waits}");
+    }
+    log::info!("reload: the command channel is at {}", newer.channel);
+    if std::mem::replace(&mut told.channel, newer.channel) != newer.channel {
+        let _ = moved.force_send(newer.channel);
+    }
+}
+
+/// Waits for a signal to end. Others have the file read anew, or the counters printed.
+async fn wait_for_end(signals: &mut Signals, counters: &Counters, mut reload: impl FnMut()) -> Instant {
     while let Some(signal) = signals.next().await {
         match signal {
             Ok(Signal::Usr1) => log::info!("counts: {counters}"),
+            Ok(Signal::Hup) => reload(),
             Ok(_) => break,
             Err(error) => log::warn!("signals: {error}"),
         }
--- a/crates/front/src/transport/mod.rs
+++ b/crates/front/src/transport/mod.rs
@@ -13,7 +13,7 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// One TCP connection, shared by what reads and what writes.
 pub type Wire = Arc<Async<TcpStream>>;
@@ -55,8 +55,8 @@
     CutShort,
     /// A message is longer than the limit.
     TooLong,
-    /// Nothing has come for too long.
-    Silent,
+    /// A message has begun and does not come to its end.
+    Slow,
     /// The bytes are no message.
     Bad(E),
 }
@@ -67,7 +67,7 @@
             Broken::Io(error) => write!(f, "{error}"),
             Broken::CutShort => write!(f, "ended in the middle of a message"),
             Broken::TooLong => write!(f, "message too long"),
-            Broken::Silent => write!(f, "nothing came for too long"),
+            Broken::Slow => write!(f, "a message does not come to its end"),
             Broken::Bad(error) => write!(f, "{error}"),
         }
     }
@@ -78,21 +78,23 @@
     bytes: Vec<u8>,
     start: usize,
     bound: usize,
-    silence: Option<Duration>,
+    /// How long a message may take from its first byte to its last, and when the one that comes now began.
+    whole: Duration,
+    began: Option<Instant>,
     cut: C,
     ended: bool,
 }
 
 /// The messages that come on a connection. `cut` is given what has come and yields the first whole message
 /// and its length, if there is one; it is never given more than `bound` bytes without one. A connection on
-/// which nothing has come for `silence` is broken.
+/// which a message takes longer than `whole` to come is broken.
 pub fn messages<T, E>(
     wire: Wire,
     bound: usize,
-    silence: Option<Duration>,
+    whole: Duration,
     cut: impl FnMut(&[u8]) -> Result<Option<(usize, T)>, E>,
 ) -> impl Stream<Item = Result<T, Broken<E>>> {
-    let intake = Intake { wire, bytes: Vec::new(), start: 0, bound, silence, cut, ended: false };
+    let intake = Intake { wire, bytes: Vec::new(), start: 0, bound, whole, began: None, cut, ended: false };
     stream::unfold(intake, |mut intake| async move {
         if intake.ended {
             return None;
@@ -114,6 +116,7 @@
                 && let Some((length, message)) = (self.cut)(waiting).map_err(Broken::Bad)?
             {
                 self.start += length;
+                self.began = None;
                 return Ok(Some(message));
             }
             if waiting.len() >= self.bound {
@@ -141,12 +144,12 @@
     }
 
     /// Waits for something to read before any room is made for it.
-    async fn wire_readable<E>(&self) -> Result<(), Broken<E>> {
-        let ready = self.wire.readable();
-        match self.silence {
-            Some(limit) => within(limit, ready).await.unwrap_or(Err(io::ErrorKind::TimedOut.into())),
-            None => ready.await,
+    async fn wire_readable<E>(&mut self) -> Result<(), Broken<E>> {
+        if self.bytes.is_empty() {
+            return self.wire.readable().await.map_err(Broken::Io);
         }
-        .map_err(|e| if e.kind() == io::ErrorKind::TimedOut { Broken::Silent } else { Broken::Io(e) })
+        let began = *self.began.get_or_insert_with(Instant::now);
+        let left = self.whole.saturating_sub(began.elapsed());
+        within(left, self.wire.readable()).await.ok_or(Broken::Slow)?.map_err(Broken::Io)
     }
 }
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -4,6 +4,7 @@
 
 use serde_json::{Value, json};
 use stand::*;
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -313,7 +314,7 @@
 
 #[test]
 fn the_channel_is_followed_through_split_repeated_and_missing_frames_and_losses() {
-    use std::io::Write;
+
     let (front, [(first, home), (second, other)], commands) = two();
     let (last, mut wire) = commands.next();
     assert_eq!(last, 1);
@@ -349,9 +350,48 @@
     assert_eq!(commands.next().0, 4);
 }
 
+#[test]
+fn a_file_read_anew_moves_the_channel_and_cuts_nothing() {
+    let (front, engine, commands) = one();
+    let (mut client, moved) = (front.client(), Commands::start());
+    let (from, mut wire) = commands.next();
+    assert_eq!(from, 1);
+    wire.write_all(&changes(2, &[(2, engine.address, 1)])).unwrap();
+    front.logged("engine 00000002 is Leaving");
+    client.ask(1, "look-up");
+    let serve = engine.next("serve");
+    for told in ["{", "{}"] {
+        front.reload(told);
+        front.logged("all stays as it is");
+    }
+    let mut newer = told(&[(1, engine.address)], moved.address);
+    newer["limits"]["sockets"] = json!(512);
+    front.reload(&newer.to_string());
+    front.logged("only at the next start: limits");
+    let (from, mut wire) = moved.next();
+    assert_eq!(from, 2);
+    wire.write_all(&changes(3, &[(3, engine.address, 1)])).unwrap();
+    front.logged("engine 00000003 is Leaving");
+    serve.answer("HIT", "fetches=1", b"a\tb\tc\n");
+    client.returned(1, b"a\tb\tc\n");
+    // And back again, to where the first connection is still open.
+    front.reload(&told(&[(1, engine.address)], commands.address).to_string());
+    assert_eq!(commands.next().0, 3);
+    assert!(client.fit());
+}
+
+#[test]
+fn a_channel_that_stays_open_and_says_nothing_is_asked_anew() {
+    let (_front, _engine, commands) = one();
+    let (from, mut wire) = commands.next();
+    let frame = changes(2, &[(7, commands.address, 1)]);
+    wire.write_all(&frame[..20]).unwrap(); // It stops within an event.
+    assert_eq!((from, commands.next().0), (1, 1));
+}
+
 #[test]
 fn a_new_engine_at_the_address_of_one_that_has_gone_gets_connections_of_its_own() {
-    use std::io::Write;
+
     let (front, engine, commands) = one();
     let mut client = front.client();
     client.ask(1, "look-up");
--- a/crates/front/tests/stand/mod.rs
+++ b/crates/front/tests/stand/mod.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
@@ -30,6 +31,7 @@
 /// The front as built, ended with the test.
 pub struct Front {
     child: Child,
+    file: PathBuf,
     pub address: SocketAddr,
     log: Receiver<String>,
 }
@@ -82,18 +84,19 @@
     (output.status.code(), String::from_utf8(output.stderr).unwrap())
 }
 
-fn file(text: &str) -> std::path::PathBuf {
+fn file(text: &str) -> PathBuf {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let name = format!("front-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, text).unwrap();
     path
 }
 
 impl Front {
     pub fn start(told: &Value) -> Front {
+        let file = file(&told.to_string());
         let mut child = Command::new(env!("CARGO_BIN_EXE_lemonusher-front"))
-            .env("PROXY_CONFIG", file(&told.to_string()))
+            .env("PROXY_CONFIG", &file)
             .env("RUST_LOG", "info")
             .stderr(Stdio::piped())
             .spawn()
@@ -104,7 +107,7 @@
         let first = log.recv_timeout(LONG).unwrap();
         let address = first.split_once("listens on ").and_then(|(_, rest)| rest.split(',').next());
         let address = address.and_then(|text| text.parse().ok()).expect(&first);
-        Front { child, address, log }
+        Front { child, file, address, log }
     }
 
     pub fn client(&self) -> Client {
@@ -116,6 +119,12 @@
         assert!(Command::new("kill").args(["-s", name, &id]).status().unwrap().success());
     }
 
+    /// Puts another text in place of what the front was told, and says so.
+    pub fn reload(&self, told: &str) {
+        std::fs::write(&self.file, told).unwrap();
+        self.signal("HUP");
+    }
+
     /// The next line of the log that holds this text.
     pub fn logged(&self, text: &str) -> String {
         loop {
