Answers that belong to nothing out are passed over and no longer end their connection

Checked in the log at debug: what came was an answer under an id that nothing had gone out under; engines/link.rs, hear, took it, a second copy of a page and a second HIT for the end of the connection. Ruled out: bad clients (their lines cost 0.1 s of CPU in the worst second), connections refused (only from engines that had gone). Now such answers are counted and passed over.

--- a/crates/front/src/program/engines/link.rs
+++ b/crates/front/src/program/engines/link.rs
@@ -2,7 +2,7 @@
 
 use super::super::start::Shared;
 use crate::protocol::engine::{self, Answer, Malformed, Word};
-use crate::routing::{Heard, Token};
+use crate::routing::{Heard, Kind, Token};
 use crate::transport::{Outbox, Wire};
 use lemonusher::{Cost, EngineId, LoadReport, Note, Outcome};
 use std::cell::{Cell, RefCell};
@@ -191,7 +191,8 @@
         tokens
     }
 
-    /// What an answer means for what is out; an answer that belongs to nothing ends the connection.
+    /// What an answer means for what is out. One that belongs to nothing that is out, or for which what is out
+    /// does not wait, is passed over: it does no harm, and all else on the connection goes on.
     pub fn hear(&self, answer: Answer) -> Result<Option<(Token, Heard)>, Malformed> {
         self.used.set(Instant::now());
         self.asked.set(None);
@@ -206,15 +207,15 @@
             })
         else {
             // It has been given up meanwhile: what it holds there is let go.
-            return match (self.has_carried(&answer.id), answer.word) {
-                (false, _) => Err(Malformed::Word),
-                (true, Word::Hit { pages, .. }) if pages > 1 => {
-                    let _ = self.outbox.push(engine::release(&answer.id).as_bytes());
-                    Ok(None)
-                }
-                (true, _) => Ok(None),
-            };
+            if self.has_carried(&answer.id) && matches!(answer.word, Word::Hit { pages, .. } if pages > 1) {
+                let _ = self.outbox.push(engine::release(&answer.id).as_bytes());
+            }
+            self.shared.counters.add(Kind::Stray, None);
+            return Ok(None);
         };
+        if matches!(answer.word, Word::Hit { .. } | Word::Part { .. }) && !engine::whole_rows(&answer.body) {
+            return Err(Malformed::Rows);
+        }
         let token = out.token;
         let over =
             |outcome| Some((token, Heard::Ended { token, outcome, cost: None, load, rows: Vec::new() }));
@@ -258,8 +259,11 @@
                 }
             }
             (OutKind::Batch(Some(pages)), Word::Part { page }) => {
-                let place = pages.pages.get_mut(page).filter(|page| page.is_none());
-                *place.ok_or(Malformed::Field)? = Some(answer.body);
+                let Some(place) = pages.pages.get_mut(page).filter(|page| page.is_none()) else {
+                    self.shared.counters.add(Kind::Stray, None);
+                    return Ok(None);
+                };
+                *place = Some(answer.body);
                 pages.missing -= 1;
                 pages.bytes += pages.pages[page].as_ref().map_or(0, Vec::len);
                 if pages.bytes > LARGEST_RESULT {
@@ -274,7 +278,10 @@
                     Some((token, Heard::Ended { token, outcome, cost, load, rows }))
                 }
             }
-            _ => return Err(Malformed::Word),
+            _ => {
+                self.shared.counters.add(Kind::Stray, None);
+                return Ok(None);
+            }
         };
         all.remove(&id);
         Ok(heard)
--- a/crates/front/src/program/engines/mod.rs
+++ b/crates/front/src/program/engines/mod.rs
@@ -340,7 +340,11 @@
         let whole = self.shared.connect_timeout * 2;
         let mut answers = pin!(transport::messages(link.outbox.wire(), LONGEST_ANSWER, whole, engine::cut));
         while let Some(answer) = answers.next().await {
-            let answer = answer?;
+            let answer = answer.inspect_err(|error| {
+                if !matches!(error, Broken::Io(_)) {
+                    self.shared.counters.add(Kind::Spoilt, None);
+                }
+            })?;
             if let Some((token, heard)) = link.hear(answer).map_err(Broken::Bad)? {
                 if !matches!(heard, Heard::Noted { .. }) {
                     self.places.borrow_mut().remove(&token);
--- a/crates/front/src/routing/counters.rs
+++ b/crates/front/src/routing/counters.rs
@@ -21,6 +21,8 @@
     Connections,
     Faulty,
     Engines,
+    Stray,
+    Spoilt,
     ChannelEvents,
     Panics,
 }
@@ -84,6 +86,8 @@
             Kind::Connections => "client connections",
             Kind::Faulty => "faulty lines",
             Kind::Engines => "engine connections",
+            Kind::Stray => "stray answers",
+            Kind::Spoilt => "engine connections spoilt",
             Kind::ChannelEvents => "channel events",
             Kind::Panics => "panics",
         })
