Connections that say nothing whole are closed; what comes in part is bounded in sum

Now: 2 s for a first line, 6 s idle; room is made first by what has stayed silent, last by what has just come; parts of lines and of results have an eighth of the memory each, of which each connection's first 16 KiB are its own; a time of 0 or past twice the service group's limit is out of range; 16 unreadable lines end a connection.

--- a/crates/front/src/program/channel.rs
+++ b/crates/front/src/program/channel.rs
@@ -4,7 +4,7 @@
 use super::start::Shared;
 use crate::protocol::channel::{self, LONGEST_FRAME, Member, News, State};
 use crate::routing::{Heard, Listed};
-use crate::transport::{self, within};
+use crate::transport::{self, Bounds, Room, within};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::{AsyncWriteExt, FutureExt, StreamExt};
@@ -73,7 +73,8 @@
             Some(Err(error)) => return error.to_string(),
             None => return "takes nothing".to_owned(),
         }
-        let mut frames = pin!(transport::messages(wire, LONGEST_FRAME, SILENCE, channel::cut));
+        let bounds = Bounds { bytes: LONGEST_FRAME, time: SILENCE, room: Room::new(LONGEST_FRAME * 2) };
+        let mut frames = pin!(transport::messages(wire, bounds, channel::cut));
         loop {
             let Some(next) = within(SILENCE, frames.next()).await else { return "fell silent".to_owned() };
             let Some(frame) = next else { return "closed".to_owned() };
--- a/crates/front/src/program/clients.rs
+++ b/crates/front/src/program/clients.rs
@@ -5,7 +5,7 @@
 use crate::protocol::client::{self, Batch, Fault, FaultKind, LONGEST_LINE, Message};
 use crate::protocol::statement::table_group;
 use crate::routing::{Answer, Asker, Heard, Kind, Taken};
-use crate::transport::{self, Broken, Outbox, Wire};
+use crate::transport::{self, Bounds, Broken, Outbox, Wire};
 use async_io::{Async, Timer};
 use futures_lite::{FutureExt, StreamExt};
 use lemonusher::BatchId;
@@ -20,7 +20,13 @@
 const MOST_OPEN: usize = 32;
 const OUTBOX: usize = MOST_OPEN * 96 * 1024; // An answer to each open batch fits, however large.
 const STALL: Duration = Duration::from_secs(10); // A client that reads nothing for so long has gone.
-const SLOW: Duration = Duration::from_secs(2); // A line takes no longer to come.
+const SLOW: Duration = Duration::from_secs(2); // A line takes no longer to come, nor the first one to begin.
+const IDLE: Duration = Duration::from_secs(6); // Past the time after which clients close idle connections.
+const FRESH: Duration = Duration::from_millis(100); // The first line of a new connection is on its way.
+const TEND: Duration = Duration::from_millis(250);
+const MOST_TTL: u64 = 2; // No client waits longer than so many times the service group's time limit.
+const MOST_UNREADABLE: u32 = 16; // Lines of a connection that could be read for nothing.
+const MOST_REPLIES: usize = 64 * 1024; // Bytes that wait for a client which goes on sending what is faulty.
 const QUIET: Duration = Duration::from_secs(1); // Between two warnings of one kind.
 const NO_DESCRIPTOR: Duration = Duration::from_millis(20);
 
@@ -32,6 +38,10 @@
     /// Bytes that wait here, as the sum over all connections has them.
     counted: Cell<usize>,
     used: Cell<Instant>,
+    /// Whether a whole line has come, and the highest ticket in one.
+    spoke: Cell<bool>,
+    highest: Cell<u64>,
+    unreadable: Cell<u32>,
 }
 
 type Sessions = Rc<RefCell<BTreeMap<u64, Rc<Session>>>>;
@@ -39,6 +49,7 @@
 /// Accepts for as long as the front runs.
 pub async fn run(shared: Rc<Shared>, listener: Async<TcpListener>) {
     let sessions = Sessions::default();
+    shared.executor.spawn(tend(sessions.clone())).detach();
     let mut warned = Instant::now() - QUIET;
     for number in 0.. {
         while sessions.borrow().len() >= shared.clients {
@@ -78,19 +89,53 @@
     }
 }
 
+/// Closes what has said nothing since it came, or else what has been idle longest.
 fn close_idlest(sessions: &Sessions) -> bool {
     let sessions = sessions.borrow();
-    let idle = sessions.values().filter(|s| s.open.borrow().is_empty() && s.outbox.waiting() == 0);
-    let Some(idlest) = idle.min_by_key(|s| s.used.get()) else { return false };
+    let idle = sessions.values().filter_map(|session| Some((session, session.idle()?)));
+    // One that has just come is the last to go: its first line is on its way.
+    let rank = |session: &Session, span: Duration| match (session.spoke.get(), span < FRESH) {
+        (false, false) => 2,
+        (true, _) => 1,
+        (false, true) => 0,
+    };
+    let Some((idlest, _)) = idle.max_by_key(|(s, span)| (rank(s, *span), *span)) else { return false };
     idlest.outbox.close();
     true
 }
 
+/// Closes connections on which nothing has been said for too long.
+async fn tend(sessions: Sessions) {
+    loop {
+        Timer::after(TEND).await;
+        for session in sessions.borrow().values() {
+            let most = if session.spoke.get() { IDLE } else { SLOW };
+            if session.idle().is_some_and(|span| span > most) {
+                session.outbox.close();
+            }
+        }
+    }
+}
+
 impl Session {
     fn new(shared: Rc<Shared>, wire: Wire) -> Self {
         let outbox = Outbox::new(wire, OUTBOX);
-        let used = Cell::new(Instant::now());
-        Session { shared, outbox, open: RefCell::default(), counted: Cell::new(0), used }
+        Session {
+            shared,
+            outbox,
+            open: RefCell::default(),
+            counted: Cell::new(0),
+            used: Cell::new(Instant::now()),
+            spoke: Cell::new(false),
+            highest: Cell::new(0),
+            unreadable: Cell::new(0),
+        }
+    }
+
+    /// Nothing is owed on it, for so long.
+    fn idle(&self) -> Option<Duration> {
+        let idle = self.open.borrow().is_empty() && self.outbox.waiting() == 0;
+        idle.then(|| self.used.get().elapsed())
     }
 
     async fn serve(self: &Rc<Self>) {
@@ -133,14 +178,25 @@
 
     async fn read(self: &Rc<Self>) -> Result<(), Broken<std::convert::Infallible>> {
         let wire = self.outbox.wire();
-        let mut lines = pin!(transport::messages(wire, LONGEST_LINE, SLOW, client::cut));
+        let bounds = Bounds { bytes: LONGEST_LINE, time: SLOW, room: self.shared.lines.clone() };
+        let mut lines = pin!(transport::messages(wire, bounds, client::cut));
         while let Some(message) = lines.next().await {
             self.used.set(Instant::now());
-            match message? {
+            let message = message.inspect_err(|error| {
+                if let Broken::NoRoom = error {
+                    self.shared.counters.add(Kind::NoRoom, None);
+                }
+            })?;
+            self.spoke.set(true);
+            match message {
                 Ok(Message::Batch(batch)) => self.take(batch).await,
                 Ok(Message::Heartbeat(id)) => {
                     self.write(&client::heartbeat(id, !self.shared.closing.get()));
                 }
+                // A revoke may cross the answer; but nothing has ever been asked under a higher ticket.
+                Ok(Message::Revoke(ticket)) if ticket > self.highest.get() => {
+                    self.fault(Fault { id: None, kind: FaultKind::InvalidParams });
+                }
                 Ok(Message::Revoke(ticket)) => {
                     let left = self.open.borrow_mut().remove(&ticket);
                     log::debug!("ticket {ticket} revoked, batch {left:?}");
@@ -160,6 +216,11 @@
         let Some(service_group) = self.shared.settled.classes.iter().position(named) else {
             return self.fault(Fault { id: Some(batch.id), kind: FaultKind::UnknownMethod });
         };
+        self.highest.set(self.highest.get().max(batch.id));
+        let most = self.shared.settled.classes[service_group].hard_limit_us.saturating_mul(MOST_TTL);
+        if batch.ttl_ms == 0 || batch.ttl_ms.saturating_mul(1000) > most {
+            return self.fault(Fault { id: Some(batch.id), kind: FaultKind::InvalidParams });
+        }
         let (twice, many) = {
             let open = self.open.borrow();
             (open.contains_key(&batch.id), open.len() >= MOST_OPEN)
@@ -191,6 +252,11 @@
         self.shared.counters.add(Kind::Faulty, None);
         log::debug!("a client's line is faulty: {fault:?}");
         self.write(&client::fault(&fault));
+        // Errors cost little, but not to no end.
+        self.unreadable.set(self.unreadable.get() + u32::from(fault.id.is_none()));
+        if self.unreadable.get() >= MOST_UNREADABLE || self.outbox.waiting() > MOST_REPLIES {
+            self.outbox.close();
+        }
     }
 
     fn write(&self, line: &str) {
--- a/crates/front/src/program/engines/link.rs
+++ b/crates/front/src/program/engines/link.rs
@@ -3,7 +3,7 @@
 use super::super::start::Shared;
 use crate::protocol::engine::{self, Answer, Malformed, Word};
 use crate::routing::{Heard, Kind, Token};
-use crate::transport::{Outbox, Wire};
+use crate::transport::{Outbox, Place, Wire};
 use lemonusher::{Cost, EngineId, LoadReport, Note, Outcome};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,8 +11,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const OUTBOX: usize = 1024 * 1024;
-const MOST_IDS: usize = 4096; // Ids that one connection has carried before it takes no further ones.
+const OUTBOX: usize = 128 * 1024; // And one message that is longer by itself.
+const MOST_IDS: usize = 1024; // Ids that one connection has carried before it takes no further ones.
 const LARGEST_RESULT: usize = 64 * 1024;
 const MOST_PAGES: usize = 64;
 
@@ -55,6 +55,7 @@
     pages: Vec<Option<Vec<u8>>>,
     missing: usize,
     bytes: usize,
+    place: Place,
     cost: Option<Cost>,
     load: Option<LoadReport>,
 }
@@ -240,10 +241,11 @@
             (OutKind::Batch(_), Word::Fault) => over(Outcome::Errored),
             (OutKind::Batch(pages @ None), Word::Hit { pages: count, cost }) => {
                 let cost = cost.map(took);
+                let mut place = Place::new(self.shared.answers.clone());
                 if count == 1 {
                     let (outcome, rows) = (Outcome::Returned, answer.body);
                     Some((token, Heard::Ended { token, outcome, cost, load, rows }))
-                } else if count > MOST_PAGES {
+                } else if count > MOST_PAGES || !place.set(answer.body.len()) {
                     let _ = self.outbox.push(engine::release(&id).as_bytes());
                     over(Outcome::Errored)
                 } else {
@@ -251,7 +253,7 @@
                     let mut all = vec![None; count];
                     let bytes = answer.body.len();
                     all[0] = Some(answer.body);
-                    *pages = Some(Pages { pages: all, missing: count - 1, bytes, cost, load });
+                    *pages = Some(Pages { pages: all, missing: count - 1, bytes, place, cost, load });
                     if self.outbox.push(ask.as_bytes()).is_err() {
                         return Err(Malformed::Length);
                     }
@@ -266,7 +268,7 @@
                 *place = Some(answer.body);
                 pages.missing -= 1;
                 pages.bytes += pages.pages[page].as_ref().map_or(0, Vec::len);
-                if pages.bytes > LARGEST_RESULT {
+                if pages.bytes > LARGEST_RESULT || !pages.place.set(pages.bytes) {
                     let _ = self.outbox.push(engine::release(&id).as_bytes());
                     over(Outcome::Errored)
                 } else if pages.missing > 0 {
--- a/crates/front/src/program/engines/mod.rs
+++ b/crates/front/src/program/engines/mod.rs
@@ -6,7 +6,7 @@
 use super::start::Shared;
 use crate::protocol::engine::{self, LONGEST_ANSWER, Malformed, Terms};
 use crate::routing::{Heard, Kind, Listed, Order, Token};
-use crate::transport::{self, Broken, Wire};
+use crate::transport::{self, Bounds, Broken, Wire};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::{FutureExt, StreamExt};
@@ -337,8 +337,9 @@
 
     async fn read(self: &Rc<Self>, link: &Rc<Link>) -> Result<(), Broken<Malformed>> {
         // An engine writes an answer in one go: one that stops short keeps all else from this connection.
-        let whole = self.shared.connect_timeout * 2;
-        let mut answers = pin!(transport::messages(link.outbox.wire(), LONGEST_ANSWER, whole, engine::cut));
+        let time = self.shared.connect_timeout * 2;
+        let bounds = Bounds { bytes: LONGEST_ANSWER, time, room: self.shared.answers.clone() };
+        let mut answers = pin!(transport::messages(link.outbox.wire(), bounds, engine::cut));
         while let Some(answer) = answers.next().await {
             let answer = answer.inspect_err(|error| {
                 if !matches!(error, Broken::Io(_)) {
--- a/crates/front/src/program/start.rs
+++ b/crates/front/src/program/start.rs
@@ -4,7 +4,7 @@
 use crate::protocol;
 use crate::protocol::channel::News;
 use crate::routing::{Clock, Counters, Heard, Limits, Owner};
-use crate::transport::{self, Pulse};
+use crate::transport::{self, Pulse, Room};
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
@@ -30,7 +30,8 @@
 const BACKLOG: i32 = 4096;
 const CLOSING_MARGIN: Duration = Duration::from_millis(250); // Answers are on their way before the kill.
 const STATEMENT_SHARE: usize = 4; // Part of the memory that statements may take,
-const ANSWER_SHARE: usize = 4; // and answers that clients are slow to read.
+const ANSWER_SHARE: usize = 4; // answers that clients are slow to read,
+const PART_SHARE: usize = 8; // and what has come in part, of clients and of engines.
 
 /// The file that `PROXY_CONFIG` names.
 #[derive(Deserialize)]
@@ -102,6 +103,9 @@
     /// Bytes of answers that wait for clients to read them, and how many may.
     pub unwritten: std::cell::Cell<usize>,
     pub most_unwritten: usize,
+    /// What has come in part, from clients and from engines.
+    pub lines: Rc<Room>,
+    pub answers: Rc<Room>,
     pub pulse: Pulse,
     /// Descriptors that clients may hold, and connections to one engine.
     pub clients: usize,
@@ -134,9 +138,10 @@
     let (moved, addresses) = async_channel::bounded(1); // Only the latest counts.
     let _ = moved.try_send(told.channel);
     let executor = Rc::new(LocalExecutor::new());
+    let memory = told.limits.memory_mb * 1024 * 1024;
     let limits = Limits {
         open: settled.ceilings.open_cap.max(1),
-        bytes: told.limits.memory_mb * 1024 * 1024 / STATEMENT_SHARE,
+        bytes: memory / STATEMENT_SHARE,
         probe: stated.permits.connect_timeout,
     };
     // Clients hold a third at most; engines share another, and the rest is for all else.
@@ -148,7 +153,9 @@
         executor: executor.clone(),
         closing: false.into(),
         unwritten: 0.into(),
-        most_unwritten: told.limits.memory_mb * 1024 * 1024 / ANSWER_SHARE,
+        most_unwritten: memory / ANSWER_SHARE,
+        lines: Room::new(memory / PART_SHARE),
+        answers: Room::new(memory / PART_SHARE),
         clients: third + third / 2,
         per_engine: third / 32,
         pulse: Pulse::new(PULSE),
--- a/crates/front/src/routing/counters.rs
+++ b/crates/front/src/routing/counters.rs
@@ -20,6 +20,7 @@
     ProbeFailed,
     Connections,
     Faulty,
+    NoRoom,
     Engines,
     Stray,
     Spoilt,
@@ -34,17 +35,23 @@
     counts: RefCell<BTreeMap<(Kind, Option<usize>), u64>>,
     /// Time that the gateway has taken to decide.
     gateway: Cell<Duration>,
+    /// Batches, dispatches and engines in the tables now.
+    held: Cell<[usize; 3]>,
 }
 
 impl Counters {
     pub fn new(service_groups: Vec<String>) -> Self {
-        Counters { names: service_groups, counts: RefCell::default(), gateway: Cell::default() }
+        Counters { names: service_groups, ..Counters::default() }
     }
 
     pub fn add(&self, kind: Kind, service_group: Option<usize>) {
         *self.counts.borrow_mut().entry((kind, service_group)).or_default() += 1;
     }
 
+    pub fn holds(&self, sizes: [usize; 3]) {
+        self.held.set(sizes);
+    }
+
     pub fn gateway_took(&self, span: Duration) {
         self.gateway.set(self.gateway.get() + span);
     }
@@ -65,6 +72,8 @@
                 None => write!(f, " {count}")?,
             }
         }
+        let [batches, dispatches, engines] = self.held.get();
+        write!(f, "; holds {batches} batches, {dispatches} dispatches, {engines} engines")?;
         write!(f, "; gateway decided for {} ms", self.gateway.get().as_millis())
     }
 }
@@ -85,6 +94,7 @@
             Kind::ProbeFailed => "probes failed",
             Kind::Connections => "client connections",
             Kind::Faulty => "faulty lines",
+            Kind::NoRoom => "lines with no room",
             Kind::Engines => "engine connections",
             Kind::Stray => "stray answers",
             Kind::Spoilt => "engine connections spoilt",
--- a/crates/front/src/routing/owner.rs
+++ b/crates/front/src/routing/owner.rs
@@ -4,7 +4,8 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use lemonusher::{
-    Action, Arrival, BatchId, Deployment, Ending, EngineEntry, EngineId, Event, Gateway, Outcome, RosterKind,
+    Action, Arrival, BatchId, Deployment, Ending, EngineEntry, EngineId, EngineState, Event, Gateway,
+    Outcome, RosterKind,
 };
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -139,6 +140,7 @@
                 self.start_over(now);
             }
             self.open.set(self.batches.len());
+            self.counters.holds([self.batches.len(), self.flights.len(), self.listed.len()]);
         }
     }
 
@@ -323,7 +325,11 @@
                 entry.location,
                 (!entry.started.is_zero()).then(|| now.saturating_sub(entry.started))
             );
-            self.listed.insert(entry.engine, entry.clone());
+            if entry.state == EngineState::Left {
+                self.listed.remove(&entry.engine);
+            } else {
+                self.listed.insert(entry.engine, entry.clone());
+            }
         }
         self.order(Order::Roster(kind, listed));
         self.gateway.hear(now, Event::Roster(kind, entries));
--- a/crates/front/src/transport/mod.rs
+++ b/crates/front/src/transport/mod.rs
@@ -3,15 +3,18 @@
 
 mod outbox;
 mod pulse;
+mod room;
 
 pub use outbox::Outbox;
 pub use pulse::Pulse;
+pub use room::{Place, Room};
 
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, FutureExt, Stream, stream};
 use std::fmt;
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -55,6 +58,8 @@
     CutShort,
     /// A message is longer than the limit.
     TooLong,
+    /// All that has come in part, on all connections, takes more than there is room for.
+    NoRoom,
     /// A message has begun and does not come to its end.
     Slow,
     /// The bytes are no message.
@@ -67,34 +72,44 @@
             Broken::Io(error) => write!(f, "{error}"),
             Broken::CutShort => write!(f, "ended in the middle of a message"),
             Broken::TooLong => write!(f, "message too long"),
+            Broken::NoRoom => write!(f, "no room for a message as long as this one"),
             Broken::Slow => write!(f, "a message does not come to its end"),
             Broken::Bad(error) => write!(f, "{error}"),
         }
     }
 }
 
+/// What a message may take up until it has come whole.
+#[derive(Clone)]
+pub struct Bounds {
+    pub bytes: usize,
+    /// Time from its first byte to its last.
+    pub time: Duration,
+    /// Bytes that all connections share; the first few of each are its own.
+    pub room: Rc<Room>,
+}
+
 struct Intake<C> {
     wire: Wire,
     bytes: Vec<u8>,
     start: usize,
-    bound: usize,
-    /// How long a message may take from its first byte to its last, and when the one that comes now began.
-    whole: Duration,
+    bounds: Bounds,
+    place: Place,
+    /// When the message that comes now began.
     began: Option<Instant>,
     cut: C,
     ended: bool,
 }
 
 /// The messages that come on a connection. `cut` is given what has come and yields the first whole message
-/// and its length, if there is one; it is never given more than `bound` bytes without one. A connection on
-/// which a message takes longer than `whole` to come is broken.
+/// and its length, if there is one. A connection on which a message goes past its bounds is broken.
 pub fn messages<T, E>(
     wire: Wire,
-    bound: usize,
-    whole: Duration,
+    bounds: Bounds,
     cut: impl FnMut(&[u8]) -> Result<Option<(usize, T)>, E>,
 ) -> impl Stream<Item = Result<T, Broken<E>>> {
-    let intake = Intake { wire, bytes: Vec::new(), start: 0, bound, whole, began: None, cut, ended: false };
+    let place = Place::new(bounds.room.clone());
+    let intake = Intake { wire, bytes: Vec::new(), start: 0, bounds, place, began: None, cut, ended: false };
     stream::unfold(intake, |mut intake| async move {
         if intake.ended {
             return None;
@@ -119,7 +134,7 @@
                 self.began = None;
                 return Ok(Some(message));
             }
-            if waiting.len() >= self.bound {
+            if waiting.len() >= self.bounds.bytes {
                 return Err(Broken::TooLong);
             }
             self.bytes.drain(..self.start);
@@ -127,6 +142,9 @@
             if self.bytes.is_empty() {
                 self.bytes = Vec::new(); // An idle connection holds no memory.
             }
+            if !self.place.set(self.bytes.capacity().saturating_sub(READ_SIZE)) {
+                return Err(Broken::NoRoom);
+            }
             if self.read().await? == 0 {
                 return if self.bytes.is_empty() { Ok(None) } else { Err(Broken::CutShort) };
             }
@@ -136,7 +154,7 @@
     async fn read<E>(&mut self) -> Result<usize, Broken<E>> {
         self.wire_readable().await?;
         let held = self.bytes.len();
-        let room = READ_SIZE.min(self.bound - held);
+        let room = READ_SIZE.min(self.bounds.bytes - held);
         self.bytes.resize(held + room, 0);
         let read = (&*self.wire).read(&mut self.bytes[held..]).await;
         self.bytes.truncate(held + *read.as_ref().unwrap_or(&0));
@@ -149,7 +167,7 @@
             return self.wire.readable().await.map_err(Broken::Io);
         }
         let began = *self.began.get_or_insert_with(Instant::now);
-        let left = self.whole.saturating_sub(began.elapsed());
+        let left = self.bounds.time.saturating_sub(began.elapsed());
         within(left, self.wire.readable()).await.ok_or(Broken::Slow)?.map_err(Broken::Io)
     }
 }
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -505,6 +505,87 @@
     good.returned(1, b"a\tb\tc\n");
 }
 
+#[test]
+fn connections_that_say_nothing_whole_are_closed_and_others_are_not() {
+    let (front, engine, _commands) = one();
+    let mut good = front.client();
+    good.ask(1, "look-up");
+    let serve = engine.next("serve");
+    let (mut silent, mut half, mut again) = (front.client(), front.client(), front.client());
+    half.wire.write_all(b"{\"jsonrpc\"").unwrap();
+    assert!(again.fit());
+    again.wire.write_all(b"{").unwrap();
+    for bad in [&mut silent, &mut half, &mut again] {
+        assert_eq!(bad.next(), None);
+    }
+    serve.answer("HIT", "fetches=1", b"a\tb\tc\n");
+    good.returned(1, b"a\tb\tc\n");
+    assert!(good.fit());
+}
+
+#[test]
+fn what_can_never_be_used_is_told_so_and_not_for_ever() {
+    let (front, engine, _commands) = one();
+    let mut bad = front.client();
+    bad.write(r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":4}}"#); // Nothing was asked.
+    assert_eq!(bad.error(None), -32602);
+    for ttl in ["0", "-5", "1e400", "9e15", "NaN", "\"1500\""] {
+        let params = format!(r#"{{"call":"9b1f03aa5c7e2d41","ttl":{ttl},"data":""}}"#);
+        bad.write(&format!(r#"{{"jsonrpc":"2.0","id":4,"method":"look-up","params":{params}}}"#));
+        assert!(bad.next().unwrap()["error"]["code"].as_i64().unwrap() < -32002, "{ttl}");
+    }
+    // Revoked after its answer: nothing is said.
+    bad.write(r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":3}}"#);
+    assert!(bad.fit());
+    // Its end may overtake the last errors, as it goes on sending.
+    let _ = bad.wire.write_all("{\n".repeat(100).as_bytes());
+    while let Some(answer) = bad.next() {
+        assert_eq!(answer["error"]["code"], -32700);
+    }
+    assert!(engine.quiet(PAUSE));
+}
+
+#[test]
+fn long_lines_on_many_connections_take_no_more_than_their_part() {
+    let (engine, commands) = (Engine::start(), Commands::start());
+    let mut told = told(&[(1, engine.address)], commands.address);
+    told["limits"]["memory_mb"] = json!(32);
+    let front = Front::start(&told);
+    let mut good = front.client();
+    good.ask(1, "look-up");
+    let serve = engine.next("serve");
+    let mut bad: Vec<Client> = (0..40).map(|_| front.client()).collect();
+    for client in &mut bad {
+        let _ = client.wire.write_all(&[b'x'; 200_000]);
+    }
+    good.ask(2, "look-up");
+    let second = engine.next("serve");
+    for (id, serve) in [(1, serve), (2, second)] {
+        serve.answer("HIT", "fetches=1", b"a\tb\tc\n");
+        good.returned(id, b"a\tb\tc\n");
+    }
+    assert!(bad.iter_mut().all(|client| client.next().is_none()));
+    front.signal("USR1");
+    assert!(front.logged("counts:").contains("lines with no room"));
+}
+
+#[test]
+fn engines_that_have_gone_leave_nothing_behind() {
+    let (front, engine, commands) = one();
+    let (_, mut wire) = commands.next();
+    for id in 2..200u32 {
+        let frame = changes(u64::from(id), &[(id - 1, engine.address, 2), (id, engine.address, 0)]);
+        wire.write_all(&frame).unwrap();
+    }
+    front.logged("engine 000000c7 is Active");
+    let mut client = front.client();
+    client.ask(1, "look-up");
+    engine.next("serve").answer("HIT", "fetches=1", b"");
+    client.returned(1, b"");
+    front.signal("USR1");
+    assert!(front.logged("counts:").contains("holds 0 batches, 0 dispatches, 1 engines"));
+}
+
 #[test]
 fn a_connection_carries_so_many_batches_and_no_more() {
     let (front, engine, _commands) = one();
