--- a/crates/front/src/program/clients.rs
+++ b/crates/front/src/program/clients.rs
@@ -99,9 +99,10 @@
         (true, _) => 1,
         (false, true) => 0,
     };
-    let Some((idlest, _)) = idle.max_by_key(|(s, span)| (rank(s, *span), *span)) else { return false };
-    idlest.outbox.close();
-    true
+    let mut idle: Vec<_> = idle.map(|(session, span)| (rank(session, span), span, session)).collect();
+    idle.sort_by_key(|(rank, span, _)| std::cmp::Reverse((*rank, *span)));
+    let idlest = idle.into_iter().find(|(_, _, session)| !transport::unread(&session.outbox.wire()));
+    idlest.inspect(|(_, _, session)| session.outbox.close()).is_some()
 }
 
 /// Closes connections on which nothing has been said for too long.
@@ -110,7 +111,9 @@
         Timer::after(TEND).await;
         for session in sessions.borrow().values() {
             let most = if session.spoke.get() { IDLE } else { SLOW };
-            if session.idle().is_some_and(|span| span > most) {
+            // What came while this process did not run is read first.
+            let late = session.idle().is_some_and(|span| span > most);
+            if late && !transport::unread(&session.outbox.wire()) {
                 session.outbox.close();
             }
         }
--- a/crates/front/src/transport/mod.rs
+++ b/crates/front/src/transport/mod.rs
@@ -41,6 +41,11 @@
     Ok(Arc::new(stream))
 }
 
+/// Whether something has come on a connection that nobody has read yet.
+pub fn unread(wire: &Wire) -> bool {
+    wire.get_ref().peek(&mut [0]).is_ok_and(|bytes| bytes > 0)
+}
+
 /// What the future yields, if it does so within the limit.
 pub async fn within<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
     let late = async {
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -523,6 +523,21 @@
     assert!(good.fit());
 }
 
+#[test]
+fn a_connection_that_looks_idle_is_not_closed_over_what_has_come_meanwhile() {
+    let (front, engine, _commands) = one();
+    let mut clients: Vec<Client> = (0..8).map(|_| front.client()).collect();
+    assert!(clients.iter_mut().all(Client::fit));
+    front.signal("STOP");
+    clients.iter_mut().for_each(|client| drop(client.ask(1, "look-up")));
+    std::thread::sleep(Duration::from_millis(6500)); // Longer than any may be idle.
+    front.signal("CONT");
+    for _ in 0..8 {
+        engine.next("serve").answer("HIT", "fetches=1", b"a\tb\tc\n");
+    }
+    clients.iter_mut().for_each(|client| client.returned(1, b"a\tb\tc\n"));
+}
+
 #[test]
 fn what_can_never_be_used_is_told_so_and_not_for_ever() {
     let (front, engine, _commands) = one();
