--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -623,6 +623,7 @@
     client.ask(2, "load");
     let running = engine.next("serve"); // It never ends.
     front.signal("TERM");
+    front.signal("HUP"); // Too late to matter, and no harm.
     front.logged("closing");
     assert!(!client.fit());
     let mut late = front.client();
