--- a/src/logic.rs
+++ b/src/logic.rs
@@ -18,14 +18,15 @@
 
 // Figures of the departures.
 const SHARES: [f64; 4] = [1.0, 4.0, 8.0, 16.0]; // How priorities share short cores and disks.
-const COLD_SHARE: f64 = 0.6; // Of what rule 4 allows all fronts on stated cores: an engine may be slower.
+/// Share of what rule 4 would allow on the stated cores that all fronts together may send to a cold engine:
+/// it may be slower than others, and counts as full before all of its cores are busy.
+const COLD_SHARE: f64 = 0.6;
 const TURNS: f64 = 0.8; // The part of that share that is spent by turns, and the work, as a part of all that
 const COLD_SMALL: f64 = 0.05; // an engine bears, up to which batches go by turns.
 const WORK_GUESS: f64 = 0.5; // Until answers tell: work is this share of response goal times threads.
 const MEMORY: f64 = 1.0; // The memory of all decaying sums, in longest time limits.
 const REST: f64 = 2.0; // Connect time-outs that an engine rests after a failure, doubled with each further.
 const MOST_STRIKES: u32 = 5;
-const ONCE_ONLY_CARE: f64 = 4.0; // Once-only work is kept from an engine that errs by so much more.
 const BLIND_STRIKES: u32 = 3; // What a failure counts for at a blind front, which comes by but seldom.
 const PROBES_PER_BATCH: f64 = 0.2; // Probes for each batch taken, on the round,
 const ASKS_PER_BATCH: f64 = 1.2; // and to ask before sending.
@@ -143,8 +144,7 @@
     out: Option<Out>,
     wanted: Wanted,
     priority: u8,
-    avoid: Option<EngineId>, // The engine that its last dispatch failed on, and one that answered an error.
-    errored_on: Option<EngineId>,
+    avoid: Option<EngineId>, // The engine that its last dispatch failed on.
     next_draw: Duration,
     refused: bool, // A gate refused its last draw; it draws again in its own time.
     lot: f64,      // Drawn once: the strain at which it is let in.
@@ -166,7 +166,6 @@
     report: Option<Report>,
     probed: Duration,
     quickest: Duration, // The shortest time that a probe has taken there.
-    faults: Fading,     // Share of batches that errored there and were returned elsewhere.
     strikes: u32,
     rests_until: Duration,
     pool: f64, // Threads that this front may run there: the mark, moved by pressure.
@@ -281,6 +280,7 @@
                 }
             })
             .collect();
+        let ask_at = (stated.discovery == Discovery::OnRequest).then_some(Duration::ZERO);
         Gateway {
             rows,
             chance: Chance(mix(seed) | 1),
@@ -290,7 +290,7 @@
             strain: Fading::new(memory * REPORT_AGE, 1.0),
             asked: Fading::new(memory, 0.0),
             shortest: goals.first().copied().unwrap_or_default(),
-            ask_at: (stated.discovery == Discovery::OnRequest).then_some(Duration::ZERO),
+            ask_at,
             longest,
             stated,
             ..Gateway::default()
@@ -303,13 +303,14 @@
             Event::Roster(kind, entries) => self.hear_roster(kind, entries),
             Event::RosterUnavailable => {
                 // Asked again well within the span after which we would count as told.
-                self.ask_at =
-                    Some(now + self.stated.duties.ask_within.mul_f64(0.1 + 0.1 * self.chance.draw()));
+                let wait = self.stated.duties.ask_within.mul_f64(0.1 + 0.1 * self.chance.draw());
+                self.ask_at = Some(now + wait);
             }
             Event::Arrived(arrival) => self.hear_arrival(now, arrival),
             Event::Began(id) => {
-                let batch = self.ids.get(&id).and_then(|seq| self.batches.get_mut(seq));
-                batch.into_iter().for_each(|b| b.limit = Duration::MAX); // From here on it is the client's.
+                if let Some(batch) = self.ids.get(&id).and_then(|seq| self.batches.get_mut(seq)) {
+                    batch.limit = Duration::MAX; // From here on it is the client's.
+                }
             }
             Event::Noted { batch, dispatch, note, .. } => self.hear_note(now, &batch, dispatch, note),
             Event::Ended(ending) => self.hear_ending(now, ending),
@@ -331,13 +332,14 @@
 
     fn hear_roster(&mut self, kind: RosterKind, entries: Vec<EngineEntry>) {
         if kind != RosterKind::Changes {
-            self.engines.values_mut().for_each(|e| e.entry.state = EngineState::Left);
+            for engine in self.engines.values_mut() {
+                engine.entry.state = EngineState::Left;
+            }
         }
         for entry in entries {
             let pool = cores(&self.stated, &entry) * GATE_MARK / f64::from(self.stated.fronts.max(1));
             let (rows, quickest) = (vec![0; self.rows.len()], Duration::MAX);
-            let faults = Fading::new(self.asked.memory, 0.0);
-            let fresh = Engine { pool, rows, quickest, faults, ..Engine::default() };
+            let fresh = Engine { pool, rows, quickest, ..Engine::default() };
             let engine = self.engines.entry(entry.engine).or_insert(fresh);
             if entry.started > engine.entry.started {
                 (engine.strikes, engine.rests_until, engine.report) = (0, Duration::ZERO, None);
@@ -357,7 +359,8 @@
         self.arrivals.extend(self.stated.duties.budget.map(|_| now));
         let credit = if self.blind() { ASKS_PER_BATCH } else { PROBES_PER_BATCH };
         self.probe_credit = (self.probe_credit + credit).min(self.engines.len() as f64);
-        let (row, seq) = (arrival.service_group.min(self.rows.len().saturating_sub(1)), self.next);
+        let row = arrival.service_group.min(self.rows.len().saturating_sub(1));
+        let seq = self.next;
         self.next += 1;
         let key = arrival.key.filter(|_| self.rows[row].terms.ordered);
         if let Some(key) = key {
@@ -382,8 +385,11 @@
             usual.0.abs_diff(arrival.patience) >= limit.mul_f64(ALIKE)
         };
         // Very little patience is no repeat's, but that of a first try in a hurry.
-        let late = repeat && arrival.patience > limit.mul_f64(HURRY);
-        let age = limit.saturating_sub(arrival.patience) * u32::from(late);
+        let age = if repeat && arrival.patience > limit.mul_f64(HURRY) {
+            limit.saturating_sub(arrival.patience)
+        } else {
+            Duration::ZERO
+        };
         let batch = Batch {
             asked: now.saturating_sub(age),
             id: arrival.batch,
@@ -410,10 +416,11 @@
                     self.multiple.add(now, all, engine.threads * ON_CORES);
                 }
             }
+            let (threads, out) = (engine.threads, engine.out);
             engine.quickest = probe.map_or(engine.quickest, |after| engine.quickest.min(after));
             let drag =
                 probe.map_or(1.0, |after| after.as_secs_f64() / engine.quickest.as_secs_f64().max(1e-6));
-            engine.report = Some(Report { at: now, load, threads: engine.threads, out: engine.out, drag });
+            engine.report = Some(Report { at: now, load, threads, out, drag });
         }
     }
 
@@ -430,8 +437,8 @@
 
     fn hear_note(&mut self, now: Duration, id: &BatchId, dispatch: u32, note: Note) {
         let Some(&seq) = self.ids.get(id) else { return };
+        let Some(batch) = self.batches.get_mut(&seq) else { return };
         let current = |out: &&Out| out.number == dispatch && !out.cancelled;
-        let Some(batch) = self.batches.get(&seq) else { return };
         let Some(out) = batch.out.as_ref().filter(current) else { return };
         let (age, engine) = (now.saturating_sub(out.at).as_secs_f64(), out.engine);
         let row = &self.rows[batch.row];
@@ -497,13 +504,7 @@
                     engine.feel(now, pressed, row.terms.threads, self.shortest.mul_f64(SHRINK_GAP), most);
                 }
             }
-            batch.errored_on =
-                Some(ending.engine).filter(|_| outcome == Outcome::Errored).or(batch.errored_on);
             if outcome == Outcome::Returned {
-                for (engine, fault) in [(Some(ending.engine), 0.0), (batch.errored_on, 1.0)] {
-                    let engine = engine.and_then(|engine| self.engines.get_mut(&engine));
-                    engine.into_iter().for_each(|engine| engine.faults.add(now, fault, 1.0));
-                }
                 let (memory, told) = ending.cost.map_or((0.0, 0.0), |c| (c.memory_mb, 1.0));
                 row.memory.add(now, memory, told);
                 if !batch.overdue {
@@ -598,8 +599,8 @@
     fn review(&mut self, now: Duration) -> Duration {
         let margin = self.stated.tick * 2;
         let mut due = Duration::MAX;
-        let (mut lost, mut late) = (Vec::new(), 0.0);
-        for (&seq, batch) in &mut self.batches {
+        let (mut lost, mut late) = (Vec::new(), Vec::new());
+        for (&seq, batch) in &self.batches {
             if batch.over {
                 continue;
             }
@@ -612,8 +613,7 @@
             }
             let alone = Duration::from_secs_f64(row.work.mean() / row.terms.threads.max(1.0));
             if batch.out.as_ref().is_some_and(|out| !batch.overdue && now > out.at + alone.mul_f64(OVERDUE)) {
-                batch.overdue = true;
-                late += 1.0;
+                late.push(seq);
             }
             if last <= now {
                 lost.push(seq);
@@ -621,8 +621,13 @@
                 due = due.min(last);
             }
         }
-        self.strain.add(now, late, late);
-        lost.into_iter().for_each(|seq| self.give_up(seq));
+        for seq in late {
+            self.strain.add(now, 1.0, 1.0);
+            self.batches.entry(seq).and_modify(|b| b.overdue = true);
+        }
+        for seq in lost {
+            self.give_up(seq);
+        }
         due
     }
 
@@ -762,11 +767,8 @@
             _ => true,
         };
         let rested = engine.rests_until <= now && (engine.strikes == 0 || engine.out == 0);
-        entry.state == EngineState::Active
-            && placed
-            && reached
-            && rested
-            && self.cold_room(now, batch, engine)
+        let active = entry.state == EngineState::Active;
+        active && placed && reached && rested && self.cold_room(now, batch, engine)
     }
 
     /// Guards against pushing over an engine that has just started (rule 4), from whatever cause: this
@@ -791,21 +793,24 @@
     }
 
     fn cold(&self, now: Duration, engine: &Engine) -> bool {
-        engine.entry.started > Duration::ZERO && now < engine.entry.started + self.stated.duties.cold_for
+        let started = engine.entry.started;
+        started > Duration::ZERO && now < started + self.stated.duties.cold_for
     }
 
     /// The paper's test, on this front's running batches and on loads that notes have shown.
     fn conflicts(&self, now: Duration, batch: &Batch, id: EngineId) -> bool {
         let Some(engine) = self.engines.get(&id) else { return true };
-        let ServiceTerms { load, waits_for_loads: waits, .. } = self.rows[batch.row].terms;
+        let terms = &self.rows[batch.row].terms;
         let held = engine.loads.contains_key(&batch.tables)
             || engine.foreign.get(&batch.tables).is_some_and(|until| *until > now);
         let header = self.header.filter(|h| h.1 == id).and_then(|h| self.batches.get(&h.0));
         let with_header = header.filter(|h| h.tables == batch.tables && h.id != batch.id).is_some_and(|h| {
             let other = &self.rows[h.row].terms;
-            (load && (other.load || other.waits_for_loads)) || (waits && other.load)
+            (terms.load && (other.load || other.waits_for_loads)) || (terms.waits_for_loads && other.load)
         });
-        with_header || (load && engine.readers.contains_key(&batch.tables)) || ((load || waits) && held)
+        with_header
+            || (terms.load && (held || engine.readers.contains_key(&batch.tables)))
+            || (terms.waits_for_loads && held)
     }
 
     /// Threads per core: as the engine reported, with what this front has changed since; with no report,
@@ -871,13 +876,6 @@
                     continue;
                 }
             }
-            // Guards against an engine that errs fast and so looks idle; what is returned elsewhere tells it
-            // from bad batches. Harm: that it has healed is found late.
-            let once_only = self.rows[batch.row].terms.effect == Effect::OnceOnly;
-            let faulty = engine.faults.mean() * if once_only { ONCE_ONLY_CARE } else { 1.0 };
-            if faulty > 0.0 && self.chance.draw() < faulty {
-                continue;
-            }
             desirable.push((id, self.threads_per_core(now, &self.engines[&id])));
         }
         let batch = &self.batches[&seq];
@@ -897,7 +895,8 @@
         if now >= batch.taken + self.rows[batch.row].terms.time_limit.mul_f64(FORCED_AFTER) {
             return Some(least.0);
         }
-        desirable.retain(|(_, load)| *load <= least.1 + if blind { BLIND_MARGIN } else { MARGIN });
+        let margin = if blind { BLIND_MARGIN } else { MARGIN };
+        desirable.retain(|(_, load)| *load <= least.1 + margin);
         self.batches.entry(seq).and_modify(|b| b.refused = true);
         let row = &self.rows[self.batches[&seq].row];
         let (priority, adds, is_load) = (row.priority, ADDS * row.terms.threads, row.terms.load);
@@ -989,6 +988,7 @@
     stated.machines.get(entry.kind as usize).map_or(1.0, |m| m.cores.max(1.0))
 }
 
+/// Whether a batch waits for a dispatch.
 fn held(batch: &Batch) -> bool {
     !batch.over && batch.out.is_none() && batch.wanted == Wanted::Held
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -457,32 +457,3 @@
     // A load may have run: it is errored. What may run again is pushed back.
     assert!(errored(&last, "load") && pushed_back(&last, "report") && pushed_back(&last, "late"));
 }
-
-#[test]
-fn an_engine_that_errs_fast_is_passed_over_but_not_for_bad_batches() {
-    // Each batch errs on the engine that it goes to first; elsewhere it is returned, or errs too.
-    let trial = |elsewhere: Outcome| {
-        let mut host = Host::of(2);
-        let home = engine_of(&host.ask("a", SHORT, 1), "a").unwrap();
-        host.end("a", 0, home, Outcome::Returned);
-        let mut met = 0;
-        for n in 0..40 {
-            host.wait(ms(20));
-            let id = format!("b{n}");
-            let mut out = engine_of(&host.ask(&id, SHORT, 1), &id);
-            met += usize::from(out == Some(home));
-            for number in 0.. {
-                let Some(engine) = out else { break };
-                let outcome = if engine == home { Outcome::Errored } else { elsewhere };
-                out = engine_of(&host.end(&id, number, engine, outcome), &id);
-            }
-        }
-        let loads = (0..20)
-            .filter(|n| engine_of(&host.ask(&format!("l{n}"), LOAD, 1), &format!("l{n}")) == Some(home));
-        (met, loads.count())
-    };
-    let (met, loads) = trial(Outcome::Returned);
-    assert!(met < 15 && loads == 0, "{met} {loads}");
-    let (met, _) = trial(Outcome::Errored);
-    assert!(met > 30, "{met}");
-}
