Owner as a package of its own, membership and door before the gateway, command line

Change: crates/front is a library and a thin binary; routing is crates/routing; what the sessions share no longer lies in the start that makes them. crates/membership merges the list with managers' wishes by a written rule and holds limits at the door. The module's interface grows by one field, EngineEntry::barred: a withdrawn engine is barred, not forgotten, so that what it bore while cold still counts when it is opened again. The owner prepares and switches wishes in one event and can be read. `lemonusher run` and `check` with a TOML file and tracing logs.

--- /dev/null
+++ b/crates/cli/src/file.rs
@@ -0,0 +1,313 @@
+//! The operator's file: TOML, every key known, every error with its line and what would be right.
+
+use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use toml::Spanned;
+
+/// What an operator's file switches on.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct File {
+    #[serde(default)]
+    pub front: Front,
+    #[serde(default)]
+    pub log: Log,
+    pub managed: Option<Managed>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Front {
+    /// The file that the front is told by, from the folder of this one; else the one that `PROXY_CONFIG` names.
+    pub told: Option<Spanned<PathBuf>>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    pub level: Level,
+    pub form: Form,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    Error,
+    Warn,
+    #[default]
+    Info,
+    Debug,
+    Trace,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Form {
+    #[default]
+    Text,
+    Json,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Managed {
+    /// Where commits last; without it they end with the process.
+    pub folder: Option<Spanned<PathBuf>>,
+    #[serde(default = "Managed::history")]
+    pub history: Spanned<usize>,
+    #[serde(default = "Managed::sessions")]
+    pub sessions: Spanned<usize>,
+    #[serde(default = "Managed::subscriptions")]
+    pub subscriptions: Spanned<usize>,
+    /// How old the counters that a manager reads may be, in milliseconds.
+    #[serde(default = "Managed::freshness")]
+    pub freshness_ms: Spanned<u64>,
+    pub gnmi: Option<Gnmi>,
+    pub netconf: Option<Netconf>,
+    #[serde(default)]
+    pub users: Vec<User>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Gnmi {
+    pub listen: Spanned<SocketAddr>,
+    pub certificate: Option<Spanned<PathBuf>>,
+    pub key: Option<Spanned<PathBuf>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Netconf {
+    pub listen: Spanned<SocketAddr>,
+    /// The host's private key, in OpenSSH's form; without it a new one is made at each start.
+    pub host_key: Option<Spanned<PathBuf>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct User {
+    pub name: Spanned<String>,
+    #[serde(default)]
+    pub may: May,
+    /// The public key that NETCONF takes, as a line of OpenSSH's.
+    pub ssh_key: Option<Spanned<String>>,
+    /// A file that holds the password that gNMI takes.
+    pub password_file: Option<Spanned<PathBuf>>,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum May {
+    #[default]
+    Read,
+    Write,
+}
+
+impl fmt::Display for May {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(match self {
+            May::Read => "read",
+            May::Write => "read and write",
+        })
+    }
+}
+
+impl Managed {
+    fn history() -> Spanned<usize> {
+        Spanned::new(0..0, 100)
+    }
+
+    fn sessions() -> Spanned<usize> {
+        Spanned::new(0..0, 64)
+    }
+
+    fn subscriptions() -> Spanned<usize> {
+        Spanned::new(0..0, 256)
+    }
+
+    fn freshness() -> Spanned<u64> {
+        Spanned::new(0..0, 50)
+    }
+
+    pub fn freshness_span(&self) -> Duration {
+        Duration::from_millis(*self.freshness_ms.get_ref())
+    }
+}
+
+/// What is wrong in a file, and where.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Wrong {
+    pub file: PathBuf,
+    /// From 1; none where the whole file is meant.
+    pub line: Option<usize>,
+    pub what: String,
+}
+
+impl fmt::Display for Wrong {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}:", self.file.display())?;
+        if let Some(line) = self.line {
+            write!(f, "{line}:")?;
+        }
+        write!(f, " {}", self.what)
+    }
+}
+
+/// Reads and checks a file.
+pub fn read(path: &Path) -> Result<File, Vec<Wrong>> {
+    let whole = |what: String| vec![Wrong { file: path.to_owned(), line: None, what }];
+    let text = std::fs::read_to_string(path).map_err(|error| whole(format!("can't be read: {error}")))?;
+    parse(path, &text)
+}
+
+/// Checks a file's text. Paths in it start from the file's folder.
+pub fn parse(path: &Path, text: &str) -> Result<File, Vec<Wrong>> {
+    let wrong = |span: Option<Range<usize>>, what: String| Wrong {
+        file: path.to_owned(),
+        line: span.map(|span| line_of(text, span.start)),
+        what,
+    };
+    let mut file: File =
+        toml::from_str(text).map_err(|error| vec![wrong(error.span(), one_line(error.message()))])?;
+    let folder = path.parent().unwrap_or(Path::new(""));
+    rebase(&mut file, folder);
+    let mut found = Vec::new();
+    let mut say = |span: Range<usize>, what: String| found.push(wrong(Some(span), what));
+    if let Some(managed) = &file.managed {
+        check_managed(managed, &mut say);
+    }
+    if found.is_empty() { Ok(file) } else { Err(found) }
+}
+
+fn check_managed(managed: &Managed, say: &mut impl FnMut(Range<usize>, String)) {
+    let bounds = [
+        (&managed.history, "history", 1..=10_000),
+        (&managed.sessions, "sessions", 1..=1024),
+        (&managed.subscriptions, "subscriptions", 1..=4096),
+    ];
+    for (value, name, allowed) in bounds {
+        if !allowed.contains(value.get_ref()) {
+            let (least, most) = (allowed.start(), allowed.end());
+            say(value.span(), format!("'{name}' is {}; it goes from {least} to {most}", value.get_ref()));
+        }
+    }
+    if !(1..=10_000).contains(managed.freshness_ms.get_ref()) {
+        let value = managed.freshness_ms.get_ref();
+        say(managed.freshness_ms.span(), format!("'freshness_ms' is {value}; it goes from 1 to 10000"));
+    }
+    if let Some(gnmi) = &managed.gnmi {
+        let keyed = gnmi.certificate.is_some() && gnmi.key.is_some();
+        if let (Some(alone), None) | (None, Some(alone)) = (&gnmi.certificate, &gnmi.key) {
+            say(alone.span(), "'certificate' and 'key' go together; name both or neither".to_owned());
+        }
+        if !keyed && !gnmi.listen.get_ref().ip().is_loopback() {
+            let what =
+                "without 'certificate' and 'key' only a loopback address such as 127.0.0.1:9339 is taken";
+            say(gnmi.listen.span(), what.to_owned());
+        }
+        let secret = managed.users.iter().any(|user| user.password_file.is_some());
+        if !secret && !gnmi.listen.get_ref().ip().is_loopback() {
+            let what = "beyond loopback at least one of 'users' needs a 'password_file'";
+            say(gnmi.listen.span(), what.to_owned());
+        }
+    }
+    if let Some(netconf) = &managed.netconf {
+        let keyed = managed.users.iter().any(|user| user.ssh_key.is_some());
+        if !keyed && !netconf.listen.get_ref().ip().is_loopback() {
+            let what = "without a user's 'ssh_key' only a loopback address such as 127.0.0.1:8300 is taken";
+            say(netconf.listen.span(), what.to_owned());
+        }
+    }
+    let mut names = std::collections::BTreeSet::new();
+    for user in &managed.users {
+        let name = user.name.get_ref();
+        if name.is_empty() || name.len() > 64 {
+            say(user.name.span(), "a user's 'name' has 1 to 64 characters".to_owned());
+        }
+        if !names.insert(name) {
+            say(user.name.span(), format!("user '{name}' stands twice; give each one entry"));
+        }
+    }
+    if managed.gnmi.is_none() && managed.netconf.is_none() {
+        let span = managed.history.span();
+        say(span, "[managed] opens no door; add [managed.gnmi] or [managed.netconf]".to_owned());
+    }
+}
+
+fn rebase(file: &mut File, folder: &Path) {
+    let rebase = |path: &mut Option<Spanned<PathBuf>>| {
+        if let Some(path) = path {
+            let whole = folder.join(path.get_ref());
+            *path.get_mut() = whole;
+        }
+    };
+    rebase(&mut file.front.told);
+    let Some(managed) = &mut file.managed else { return };
+    rebase(&mut managed.folder);
+    if let Some(gnmi) = &mut managed.gnmi {
+        rebase(&mut gnmi.certificate);
+        rebase(&mut gnmi.key);
+    }
+    if let Some(netconf) = &mut managed.netconf {
+        rebase(&mut netconf.host_key);
+    }
+    for user in &mut managed.users {
+        rebase(&mut user.password_file);
+    }
+}
+
+fn line_of(text: &str, at: usize) -> usize {
+    text.bytes().take(at).filter(|byte| *byte == b'\n').count() + 1
+}
+
+fn one_line(message: &str) -> String {
+    message.split_whitespace().collect::<Vec<_>>().join(" ")
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn wrong(text: &str) -> Vec<(Option<usize>, String)> {
+        let found = parse(Path::new("x.toml"), text).unwrap_err();
+        found.into_iter().map(|wrong| (wrong.line, wrong.what)).collect()
+    }
+
+    #[test]
+    fn each_mistake_is_told_with_its_line_and_what_would_be_right() {
+        let cases = [
+            ("[log]\nlevle = 'info'\n", 2, "expected `level`"),
+            ("[log]\n\nlevel = 'loud'\n", 3, "`error`"),
+            ("[managed]\nhistory = 0\n[managed.gnmi]\nlisten = '127.0.0.1:1'\n", 2, "from 1 to 10000"),
+            ("[managed.gnmi]\nlisten = '10.0.0.1:9339'\n", 2, "loopback"),
+            ("[managed.gnmi]\nlisten = '127.0.0.1:1'\nkey = 'k'\n", 3, "name both"),
+            ("[managed.netconf]\nlisten = 'here'\n", 2, "socket address"),
+            ("[managed.netconf]\nlisten = '10.0.0.1:830'\n", 2, "ssh_key"),
+            (
+                "[managed.gnmi]\nlisten='127.0.0.1:1'\n[[managed.users]]\nname='a'\n[[managed.users]]\nname='a'\n",
+                6,
+                "twice",
+            ),
+            ("[managed\n", 1, ""),
+        ];
+        for (text, line, right) in cases {
+            let found = wrong(text);
+            assert!(
+                found.iter().any(|(at, what)| *at == Some(line) && what.contains(right)),
+                "{text}: {found:?}"
+            );
+        }
+    }
+
+    #[test]
+    fn paths_start_from_the_files_folder_and_an_empty_file_is_one() {
+        let file = parse(Path::new("/a/b.toml"), "[front]\ntold = 'c.json'\n").unwrap();
+        assert_eq!(file.front.told.unwrap().into_inner(), Path::new("/a/c.json"));
+        assert!(parse(Path::new("x"), "").unwrap().managed.is_none());
+    }
+}
--- /dev/null
+++ b/crates/cli/src/journal.rs
@@ -0,0 +1,102 @@
+//! The log of this binary: `tracing`, as text or as JSON lines. What the front writes by `log` joins it, with
+//! the batch, engine and commit that it names as fields.
+
+use crate::file::{Form, Level};
+use log::kv::{Key, Value, VisitSource};
+use std::io;
+use tracing_subscriber::filter::LevelFilter;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
+use tracing_subscriber::{Layer, fmt};
+
+struct Bridge;
+
+#[derive(Default)]
+struct Fields {
+    batch: Option<String>,
+    engine: Option<u64>,
+    commit: Option<u64>,
+}
+
+impl<'k> VisitSource<'k> for Fields {
+    fn visit_pair(&mut self, key: Key<'k>, value: Value<'k>) -> Result<(), log::kv::Error> {
+        match key.as_str() {
+            "batch" => self.batch = Some(value.to_string()),
+            "engine" => self.engine = value.to_u64(),
+            "commit" => self.commit = value.to_u64(),
+            _ => {}
+        }
+        Ok(())
+    }
+}
+
+macro_rules! pass_on {
+    ($level:expr, $fields:expr, $record:expr) => {{
+        let engine = $fields.engine.map(|engine| format!("{engine:08x}"));
+        tracing::event!(
+            target: "front",
+            $level,
+            batch = $fields.batch.as_deref(),
+            engine = engine.as_deref(),
+            commit = $fields.commit,
+            "{}",
+            $record.args()
+        )
+    }};
+}
+
+impl log::Log for Bridge {
+    fn enabled(&self, metadata: &log::Metadata) -> bool {
+        metadata.level() <= log::max_level() && metadata.target().starts_with("lemonusher")
+    }
+
+    fn log(&self, record: &log::Record) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        let mut fields = Fields::default();
+        let _ = record.key_values().visit(&mut fields);
+        match record.level() {
+            log::Level::Error => pass_on!(tracing::Level::ERROR, fields, record),
+            log::Level::Warn => pass_on!(tracing::Level::WARN, fields, record),
+            log::Level::Info => pass_on!(tracing::Level::INFO, fields, record),
+            log::Level::Debug => pass_on!(tracing::Level::DEBUG, fields, record),
+            log::Level::Trace => pass_on!(tracing::Level::TRACE, fields, record),
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Starts the log, on standard error.
+pub fn start(level: Level, form: Form) {
+    let filter = match level {
+        Level::Error => LevelFilter::ERROR,
+        Level::Warn => LevelFilter::WARN,
+        Level::Info => LevelFilter::INFO,
+        Level::Debug => LevelFilter::DEBUG,
+        Level::Trace => LevelFilter::TRACE,
+    };
+    let written = match form {
+        Form::Text => fmt::layer().with_writer(io::stderr).with_ansi(false).boxed(),
+        Form::Json => fmt::layer().json().flatten_event(true).with_writer(io::stderr).boxed(),
+    };
+    // Other libraries say little that concerns an operator.
+    let ours = tracing_subscriber::filter::filter_fn(|metadata| {
+        metadata.target().starts_with("lemonusher") || metadata.target() == "front"
+    });
+    tracing_subscriber::registry().with(filter).with(written.with_filter(ours)).init();
+    if log::set_boxed_logger(Box::new(Bridge)).is_ok() {
+        log::set_max_level(bridge_level(filter));
+    }
+}
+
+fn bridge_level(filter: LevelFilter) -> log::LevelFilter {
+    match filter {
+        LevelFilter::ERROR => log::LevelFilter::Error,
+        LevelFilter::WARN => log::LevelFilter::Warn,
+        LevelFilter::DEBUG => log::LevelFilter::Debug,
+        LevelFilter::TRACE => log::LevelFilter::Trace,
+        _ => log::LevelFilter::Info,
+    }
+}
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,8 @@
+//! The front on sockets. `transport` moves bytes, `protocol` reads and writes messages, `lemonusher-routing`
+//! owns the gateway, `program` puts them together; each uses only those before it.
+
+mod program;
+mod protocol;
+mod transport;
+
+pub use program::start::{Door, Names, Unfit, names, run, serve};
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -1,16 +1,10 @@
-//! The front on sockets. `transport` moves bytes, `protocol` reads and writes messages, `routing` owns the
-//! gateway, `program` puts them together; each uses only those before it.
-
-mod program;
-mod protocol;
-mod routing;
-mod transport;
+//! One front on the platform: told by the file that `PROXY_CONFIG` names, with its log on standard error.
 
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    match program::start::run() {
+    match lemonusher_front::run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(unfit) => {
             eprintln!("lemonusher-front: {unfit}");
--- a/crates/front/src/program/channel.rs
+++ b/crates/front/src/program/channel.rs
@@ -1,14 +1,14 @@
 //! Follows the command channel: the list of the start, then its changes, over a connection that is made
 //! anew whenever it fails.
 
-use super::start::Shared;
+use super::shared::Shared;
 use crate::protocol::channel::{self, LONGEST_FRAME, Member, News, State};
-use crate::routing::{Heard, Listed};
 use crate::transport::{self, Bounds, Room, within};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::{AsyncWriteExt, FutureExt, StreamExt};
 use lemonusher::{EngineState, RosterKind};
+use lemonusher_routing::{Heard, Listed};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::pin::pin;
--- a/crates/front/src/program/clients.rs
+++ b/crates/front/src/program/clients.rs
@@ -1,14 +1,14 @@
 //! Client connections: batches are read as they come and put into the owner's queue; answers go out as the
 //! owner gives them.
 
-use super::start::Shared;
+use super::shared::Shared;
 use crate::protocol::client::{self, Batch, Fault, FaultKind, LONGEST_LINE, Message};
 use crate::protocol::statement::table_group;
-use crate::routing::{Answer, Asker, Heard, Kind, Taken};
 use crate::transport::{self, Bounds, Broken, Outbox, Wire};
 use async_io::{Async, Timer};
 use futures_lite::{FutureExt, StreamExt};
 use lemonusher::BatchId;
+use lemonusher_routing::{Answer, Asker, Heard, Kind, Taken};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::TcpListener;
--- a/crates/front/src/program/engines/link.rs
+++ b/crates/front/src/program/engines/link.rs
@@ -1,10 +1,10 @@
 //! One connection to an engine: what is out on it, and what its answers mean.
 
-use super::super::start::Shared;
+use super::super::shared::Shared;
 use crate::protocol::engine::{self, Answer, Malformed, Word};
-use crate::routing::{Heard, Kind, Token};
 use crate::transport::{Outbox, Place, Wire};
 use lemonusher::{Cost, EngineId, LoadReport, Note, Outcome};
+use lemonusher_routing::{Heard, Kind, Token};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
--- a/crates/front/src/program/engines/mod.rs
+++ b/crates/front/src/program/engines/mod.rs
@@ -3,14 +3,14 @@
 
 mod link;
 
-use super::start::Shared;
+use super::shared::Shared;
 use crate::protocol::engine::{self, LONGEST_ANSWER, Malformed, Terms};
-use crate::routing::{Heard, Kind, Listed, Order, Token};
 use crate::transport::{self, Bounds, Broken, Wire};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::{FutureExt, StreamExt};
 use lemonusher::{EngineId, EngineState, Outcome, RosterKind};
+use lemonusher_routing::{Heard, Kind, Listed, Order, Token};
 use link::{HowFar, Link, OutKind};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -359,20 +359,6 @@
     }
 }
 
-impl Order {
-    fn token(&self) -> Option<Token> {
-        match self {
-            Order::Dispatch { token, .. } | Order::Probe { token, .. } => Some(*token),
-            _ => None,
-        }
-    }
-
-    /// The id that it would go under, where that may have been out before.
-    fn batch(&self) -> Option<&Arc<str>> {
-        if let Order::Dispatch { batch, .. } = self { Some(batch) } else { None }
-    }
-}
-
 impl Pool {
     fn new(listed: &Listed) -> Self {
         Pool {
--- a/crates/front/src/program/mod.rs
+++ b/crates/front/src/program/mod.rs
@@ -3,4 +3,5 @@
 mod channel;
 mod clients;
 mod engines;
+mod shared;
 pub mod start;
--- /dev/null
+++ b/crates/front/src/program/shared.rs
@@ -0,0 +1,29 @@
+//! What the sessions share. It knows none of them, nor the start that makes it.
+
+use crate::transport::{Pulse, Room};
+use async_executor::LocalExecutor;
+use lemonusher_routing::{Counters, Heard};
+use lemonusher_stated::{LoadFields, Settled};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What all parts share.
+pub struct Shared {
+    pub settled: Settled,
+    pub fields: LoadFields,
+    pub counters: Rc<Counters>,
+    pub queue: async_channel::Sender<Heard>,
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub closing: std::cell::Cell<bool>,
+    /// Bytes of answers that wait for clients to read them, and how many may.
+    pub unwritten: std::cell::Cell<usize>,
+    pub most_unwritten: usize,
+    /// What has come in part, from clients and from engines.
+    pub lines: Rc<Room>,
+    pub answers: Rc<Room>,
+    pub pulse: Pulse,
+    /// Descriptors that clients may hold, and connections to one engine.
+    pub clients: usize,
+    pub per_engine: usize,
+    pub connect_timeout: Duration,
+}
--- a/crates/front/src/program/start.rs
+++ b/crates/front/src/program/start.rs
@@ -1,14 +1,16 @@
 //! Reads what the front is told, starts the parts, and waits for the end.
 
+use super::shared::Shared;
 use super::{channel, clients, engines};
 use crate::protocol;
 use crate::protocol::channel::News;
-use crate::routing::{Clock, Counters, Heard, Limits, Owner};
 use crate::transport::{self, Pulse, Room};
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
+use lemonusher_membership::Wanted;
+use lemonusher_routing::{Clock, Counters, Heard, Limits, Managed, Noticed, Owner};
 use lemonusher_stated::{LoadFields, Settled, deployment, span};
 use serde::Deserialize;
 use serde_json::Value;
@@ -17,6 +19,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 // Facts of the platform, as its pages state them.
@@ -92,33 +95,49 @@
     }
 }
 
-/// What all parts share.
-pub struct Shared {
-    pub settled: Settled,
-    pub fields: LoadFields,
-    pub counters: Rc<Counters>,
-    pub queue: async_channel::Sender<Heard>,
-    pub executor: Rc<LocalExecutor<'static>>,
-    pub closing: std::cell::Cell<bool>,
-    /// Bytes of answers that wait for clients to read them, and how many may.
-    pub unwritten: std::cell::Cell<usize>,
-    pub most_unwritten: usize,
-    /// What has come in part, from clients and from engines.
-    pub lines: Rc<Room>,
-    pub answers: Rc<Room>,
-    pub pulse: Pulse,
-    /// Descriptors that clients may hold, and connections to one engine.
-    pub clients: usize,
-    pub per_engine: usize,
-    pub connect_timeout: Duration,
+/// What stands beside the front when it is managed. On the platform there is none.
+pub struct Door {
+    /// Requests of the managers' side; they join the owner's one queue.
+    pub requests: async_channel::Receiver<Managed>,
+    /// What managers wanted when this front last ran.
+    pub wanted: Arc<Wanted>,
+    pub notices: async_channel::Sender<Noticed>,
 }
 
-/// Serves until told to end.
+/// Names by which the deployment speaks of its places, machines and service groups, in the order of their
+/// numbers.
+#[derive(Debug, Clone, Default)]
+pub struct Names {
+    pub front: String,
+    pub locations: Vec<String>,
+    pub kinds: Vec<String>,
+    pub service_groups: Vec<String>,
+}
+
+/// Reads the names from the file that a front is told.
+pub fn names(path: &str) -> Result<Names, Unfit> {
+    let told = Told::read(path)?;
+    let settled =
+        Settled::deserialize(&told.settings).map_err(|e| Unfit::Malformed(path.to_owned(), e.to_string()))?;
+    Ok(Names {
+        front: told.name,
+        locations: settled.areas,
+        kinds: settled.kinds,
+        service_groups: settled.classes.into_iter().map(|class| class.name).collect(),
+    })
+}
+
+/// Serves by what `PROXY_CONFIG` names until told to end.
 pub fn run() -> Result<(), Unfit> {
+    let path = std::env::var("PROXY_CONFIG").map_err(|_| Unfit::Missing("PROXY_CONFIG"))?;
+    serve(path, None)
+}
+
+/// Serves by this file until told to end.
+pub fn serve(path: String, door: Option<Door>) -> Result<(), Unfit> {
     // Watched from the first on: a signal that comes during the start is heard after it.
     let watched = [Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup];
     let mut signals = Signals::new(watched).map_err(Unfit::Signals)?;
-    let path = std::env::var("PROXY_CONFIG").map_err(|_| Unfit::Missing("PROXY_CONFIG"))?;
     let mut told = Told::read(&path)?;
     let malformed = |what: String| Unfit::Malformed(path.clone(), what);
     let settled = Settled::deserialize(&told.settings).map_err(|e| malformed(e.to_string()))?;
@@ -164,7 +183,11 @@
     });
     let address = listener.get_ref().local_addr().map_err(|e| Unfit::Listen(told.listen, e))?;
     log::info!("front {} listens on {address}, {} engine events known", told.name, known.1.len());
-    let owner = Owner::new(stated, seed, clock, limits, orders, counters.clone());
+    let mut owner = Owner::new(stated, seed, clock, limits, orders, counters.clone());
+    if let Some(door) = door {
+        owner = owner.managed(door.wanted, door.notices);
+        executor.spawn(hand_on(door.requests, queue.clone())).detach();
+    }
     let open = owner.open();
     let start = async {
         executor.spawn(owner.run(heard)).detach();
@@ -189,6 +212,15 @@
     Ok(())
 }
 
+/// Managers' requests take their turn in the owner's queue like all else.
+async fn hand_on(requests: async_channel::Receiver<Managed>, queue: async_channel::Sender<Heard>) {
+    while let Ok(request) = requests.recv().await {
+        if queue.send(Heard::Managed(request)).await.is_err() {
+            return;
+        }
+    }
+}
+
 async fn beat(shared: Rc<Shared>) {
     loop {
         Timer::after(shared.pulse.period()).await;
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,23 @@
+//! Which engines may be used. The command channel's list and the managers' wishes meet in one table by a
+//! written rule, and limits at the door hold back a service group that asks for too much at once. Nothing here
+//! does input or output or reads a clock; all spans count from the caller's origin.
+//!
+//! The rule, for each engine:
+//!
+//! 1. The list alone says whether an engine is there, leaving or gone, where it stands and when it started. A
+//!    manager can't make a leaving or unknown engine ready.
+//! 2. An engine belongs to each pool all of whose criteria it meets (a criterion that names nothing is met).
+//!    The strictest administrative state among its pools holds; in no pool, it is enabled.
+//! 3. An engine in pools that name service groups serves those that any of them names; else it serves all.
+//! 4. What is withdrawn is barred, not forgotten: its start, its faults and what it bore while cold stay known
+//!    to the gateway, so that an engine enabled again is as warm as it really is.
+//! 5. Withdrawing takes effect with the event that tells it, within any drain grace. Work that is out goes to
+//!    its end where the engine is draining; a disabled engine's repeatable work is recalled.
+
+mod door;
+mod pools;
+mod table;
+
+pub use door::{Door, Limit};
+pub use pools::{Admin, Pool, Wanted, Wish};
+pub use table::{Change, Seen, Table};
--- /dev/null
+++ b/crates/membership/tests/membership.rs
@@ -0,0 +1,174 @@
+//! The table against a plain reference, through any order of lists and wishes; the door against counts.
+
+use lemonusher::{Effect, EngineEntry, EngineState, RosterKind};
+use lemonusher_membership::{Admin, Door, Limit, Pool, Table, Wanted};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+const GROUPS: usize = 3;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn an_entry() -> impl Strategy<Value = EngineEntry> {
+    (0..6u32, 0..2u32, 0..3u32, 0..2u32, 0..3u8, 0..4u64).prop_map(
+        |(engine, location, cell, kind, state, s)| {
+            let state = [EngineState::Active, EngineState::Leaving, EngineState::Left][state as usize];
+            EngineEntry { engine, location, cell, kind, state, started: ms(s), barred: 0 }
+        },
+    )
+}
+
+fn a_pool() -> impl Strategy<Value = Pool> {
+    let few = |most: u32| prop::collection::btree_set(0..most, 0..2);
+    let admin = prop::sample::select(vec![Admin::Enabled, Admin::Draining, Admin::Disabled]);
+    (admin, few(2), few(2), few(3), few(6), prop::collection::btree_set(0..GROUPS, 0..3)).prop_map(
+        |(admin, locations, kinds, cells, engines, serves)| {
+            let name = String::new();
+            Pool { name, admin, locations, kinds, cells, engines, serves }
+        },
+    )
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    List(u8, Vec<EngineEntry>),
+    Manage(Vec<Pool>),
+}
+
+fn a_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        (0..3u8, prop::collection::vec(an_entry(), 0..4)).prop_map(|(kind, list)| Step::List(kind, list)),
+        prop::collection::vec(a_pool(), 0..4).prop_map(Step::Manage),
+    ]
+}
+
+/// The written rule, word for word.
+fn barred(pools: &[Pool], entry: &EngineEntry) -> (Admin, u64) {
+    let mine: Vec<&Pool> = pools.iter().filter(|pool| pool.holds(entry)).collect();
+    let admin = mine.iter().map(|pool| pool.admin).max().unwrap_or_default();
+    let naming: Vec<&&Pool> = mine.iter().filter(|pool| !pool.serves.is_empty()).collect();
+    let mut bits = 0;
+    for group in 0..64 {
+        let served = naming.is_empty() || naming.iter().any(|pool| pool.serves.contains(&group));
+        if admin != Admin::Enabled || !served {
+            bits |= 1 << group;
+        }
+    }
+    (admin, bits)
+}
+
+proptest! {
+    #[test]
+    fn what_the_gateway_is_told_is_always_the_rule(steps in prop::collection::vec(a_step(), 1..24)) {
+        let mut table = Table::default();
+        let mut pools: Vec<Pool> = Vec::new();
+        let mut told: BTreeMap<u32, EngineEntry> = BTreeMap::new(); // As the gateway would have it.
+        let mut listed: BTreeMap<u32, EngineEntry> = BTreeMap::new();
+        for step in steps {
+            let change = match step {
+                Step::List(kind, entries) => {
+                    let kind = [RosterKind::Changes, RosterKind::Full, RosterKind::Restored][kind as usize];
+                    if kind != RosterKind::Changes {
+                        told.clear();
+                        listed.clear();
+                    }
+                    for entry in &entries {
+                        listed.insert(entry.engine, entry.clone());
+                    }
+                    let change = table.list(kind, entries.clone());
+                    prop_assert_eq!(change.entries.len(), entries.len());
+                    change
+                }
+                Step::Manage(next) => {
+                    let before: Vec<(u32, Admin)> =
+                        table.engines().map(|seen| (seen.entry.engine, seen.admin)).collect();
+                    pools = next.clone();
+                    let change = table.manage(Arc::new(Wanted::new(next, Vec::new())));
+                    let newly: Vec<u32> = before.into_iter()
+                        .filter(|(engine, admin)| {
+                            let now = barred(&pools, &listed[engine]).0;
+                            now == Admin::Disabled && *admin != Admin::Disabled
+                        })
+                        .map(|(engine, _)| engine)
+                        .collect();
+                    prop_assert_eq!(&change.recalled, &newly);
+                    // A manager never brings in what the list doesn't hold, nor another state.
+                    for entry in &change.entries {
+                        prop_assert_eq!(entry.state, listed[&entry.engine].state);
+                        prop_assert!(entry.state != EngineState::Left);
+                    }
+                    change
+                }
+            };
+            for entry in change.entries {
+                told.insert(entry.engine, entry);
+            }
+            listed.retain(|_, entry| entry.state != EngineState::Left);
+            told.retain(|_, entry| entry.state != EngineState::Left);
+            let wanted: BTreeMap<u32, EngineEntry> = listed.iter()
+                .map(|(id, entry)| (*id, EngineEntry { barred: barred(&pools, entry).1, ..entry.clone() }))
+                .collect();
+            prop_assert_eq!(&told, &wanted);
+            prop_assert_eq!(table.len(), wanted.len());
+        }
+    }
+
+    /// Never more open than allowed, but what was open before the limit came down; and each promise lies
+    /// between the least time and the longest.
+    #[test]
+    fn the_door_counts_and_promises(
+        steps in prop::collection::vec((0..4u8, 0..GROUPS, 0..500u64), 1..200),
+        most in 1..5u32,
+    ) {
+        let (least, longest) = (ms(100), ms(2000));
+        let mut door = Door::new(GROUPS, longest);
+        let limit = Limit { most_open: most, come_back: least, longest: ms(1500) };
+        door.set(&[Some(limit), None, Some(limit)]);
+        let (mut open, mut now) = ([0u32; GROUPS], Duration::ZERO);
+        for (what, group, later) in steps {
+            now += ms(later);
+            if what == 0 && open[group] > 0 {
+                door.leave(now, group);
+                open[group] -= 1;
+            } else {
+                match door.enter(now, group) {
+                    Ok(()) => open[group] += 1,
+                    Err(wait) => {
+                        prop_assert!(group != 1 && open[group] == most);
+                        prop_assert!(wait >= least && wait <= ms(1500), "{:?}", wait);
+                    }
+                }
+            }
+            prop_assert_eq!(door.open(group), open[group]);
+            prop_assert!(group == 1 || open[group] <= most);
+        }
+    }
+}
+
+#[test]
+fn promises_follow_the_pace_at_which_places_come_free() {
+    let mut door = Door::new(1, ms(10_000));
+    door.set(&[Some(Limit { most_open: 2, come_back: ms(100), longest: ms(20_000) })]);
+    assert!(door.enter(ms(0), 0).is_ok() && door.enter(ms(0), 0).is_ok());
+    // One place each 200 ms, for long.
+    for turn in 1..100 {
+        door.leave(ms(200 * turn), 0);
+        assert!(door.enter(ms(200 * turn), 0).is_ok());
+    }
+    let waits: Vec<Duration> = (0..5).map(|_| door.enter(ms(19_850), 0).unwrap_err()).collect();
+    for pair in waits.windows(2) {
+        let gap = (pair[1] - pair[0]).as_secs_f64() / 0.2;
+        assert!((0.5..1.5).contains(&gap), "{waits:?}");
+    }
+}
+
+#[test]
+fn only_work_that_may_run_again_is_recalled() {
+    assert!(Admin::Disabled.recalls(Effect::Repeatable));
+    assert!(!Admin::Disabled.recalls(Effect::OnceOnly));
+    assert!(!Admin::Draining.recalls(Effect::Repeatable));
+}
--- a/crates/front/src/routing/counters.rs
+++ b/crates/routing/src/counters.rs
@@ -52,6 +52,21 @@
         self.held.set(sizes);
     }
 
+    /// Every count, in the order of the line.
+    pub fn all(&self) -> Vec<(Kind, Option<usize>, u64)> {
+        self.counts.borrow().iter().map(|((kind, group), count)| (*kind, *group, *count)).collect()
+    }
+
+    /// The service groups' names.
+    pub fn names(&self) -> &[String] {
+        &self.names
+    }
+
+    /// Time that the gateway has taken to decide.
+    pub fn gateway(&self) -> Duration {
+        self.gateway.get()
+    }
+
     pub fn gateway_took(&self, span: Duration) {
         self.gateway.set(self.gateway.get() + span);
     }
--- a/crates/front/src/routing/mod.rs
+++ b/crates/routing/src/lib.rs
@@ -3,10 +3,12 @@
 
 mod clock;
 mod counters;
+mod managed;
 mod owner;
 
 pub use clock::Clock;
 pub use counters::{Counters, Kind};
+pub use managed::{Engine, Managed, Noticed, Snapshot};
 pub use owner::{Limits, Owner};
 
 use lemonusher::{BatchId, Cost, EngineId, EngineState, LoadReport, Note, Outcome, RosterKind};
@@ -83,6 +85,8 @@
         answered: bool,
         load: Option<LoadReport>,
     },
+    /// A manager's part asks.
+    Managed(Managed),
     /// The front has been told to end: all is to be answered within this time.
     Closing(Duration),
 }
@@ -119,3 +123,18 @@
         Heard::Ended { token, outcome, cost: None, load: None, rows: Vec::new() }
     }
 }
+
+impl Order {
+    /// Of a dispatch or probe.
+    pub fn token(&self) -> Option<Token> {
+        match self {
+            Order::Dispatch { token, .. } | Order::Probe { token, .. } => Some(*token),
+            _ => None,
+        }
+    }
+
+    /// The id that it would go under, where that may have been out before.
+    pub fn batch(&self) -> Option<&BatchId> {
+        if let Order::Dispatch { batch, .. } = self { Some(batch) } else { None }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/managed.rs
@@ -0,0 +1,65 @@
+//! What the managers' side asks of the owner, and what it is told. All of it may cross threads.
+
+use crate::Kind;
+use async_channel::Sender;
+use lemonusher::{EngineId, EngineState};
+use lemonusher_membership::{Admin, Seen, Wanted};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+pub enum Managed {
+    /// Looks at these wishes, and holds them ready or declines.
+    Prepare {
+        number: u64,
+        wanted: Arc<Wanted>,
+        reply: Sender<Result<(), String>>,
+    },
+    /// Puts what was prepared in force, all at once.
+    Switch {
+        number: u64,
+        reply: Sender<Result<(), String>>,
+    },
+    /// Forgets what was prepared.
+    Abandon {
+        number: u64,
+    },
+    Read {
+        reply: Sender<Snapshot>,
+    },
+}
+
+/// An engine's state has changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Noticed {
+    pub engine: EngineId,
+    pub state: EngineState,
+    pub admin: Admin,
+    pub barred: u64,
+}
+
+#[derive(Debug, Clone)]
+pub struct Engine {
+    pub seen: Seen,
+    pub address: Option<SocketAddr>,
+    /// Dispatches out there, of this front.
+    pub out: u32,
+    /// Nothing is sent there for now, after faults.
+    pub resting: bool,
+}
+
+/// The front as it stands between two events.
+#[derive(Debug, Clone)]
+pub struct Snapshot {
+    /// Since the clock's origin.
+    pub now: Duration,
+    pub counts: Vec<(Kind, Option<usize>, u64)>,
+    pub names: Vec<String>,
+    pub batches: usize,
+    pub dispatches: usize,
+    pub statement_bytes: usize,
+    pub gateway: Duration,
+    /// Notices lost because nobody took them in time.
+    pub unnoticed: u64,
+    pub engines: Vec<Engine>,
+}
--- a/crates/front/src/routing/owner.rs
+++ b/crates/routing/src/owner.rs
@@ -1,5 +1,6 @@
 use super::counters::name;
 use super::{Answer, Asker, Clock, Counters, Heard, Kind, Listed, Order, Taken, Token};
+use crate::managed::{Engine, Managed, Noticed, Snapshot};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -7,10 +8,13 @@
     Action, Arrival, BatchId, Deployment, Ending, EngineEntry, EngineId, EngineState, Event, Gateway,
     Outcome, RosterKind,
 };
+use lemonusher_membership::{Change, Door, Table, Wanted};
 use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Events heard in one turn before the gateway decides.
@@ -67,7 +71,14 @@
     due: BTreeSet<(Duration, Token)>,
     wakes: BTreeSet<Duration>,
     next: Token,
-    listed: BTreeMap<EngineId, EngineEntry>,
+    table: Table,
+    door: Door,
+    addresses: BTreeMap<EngineId, SocketAddr>,
+    /// Wishes that were prepared and wait for the word to switch.
+    prepared: Option<(u64, Arc<Wanted>)>,
+    notices: Option<Sender<Noticed>>,
+    /// Notices for which there was no room.
+    unnoticed: u64,
     /// What the carrying out of actions has brought; heard in the next turn.
     at_once: VecDeque<Heard>,
     /// Orders that the engines' side has no room for yet, in turn.
@@ -88,6 +99,9 @@
         orders: Sender<Order>,
         counters: Rc<Counters>,
     ) -> Self {
+        let longest =
+            if stated.permits.come_back { stated.permits.longest_come_back } else { Duration::ZERO };
+        let door = Door::new(stated.service_groups.len(), longest);
         Owner {
             gateway: Gateway::new(stated.clone(), seed),
             stated,
@@ -103,7 +117,12 @@
             due: BTreeSet::new(),
             wakes: BTreeSet::new(),
             next: 0,
-            listed: BTreeMap::new(),
+            table: Table::default(),
+            door,
+            addresses: BTreeMap::new(),
+            prepared: None,
+            notices: None,
+            unnoticed: 0,
             at_once: VecDeque::new(),
             late: VecDeque::new(),
             decided: Duration::ZERO,
@@ -113,6 +132,14 @@
         }
     }
 
+    /// What managers wanted when this front last ran: in force before anything is heard.
+    pub fn managed(mut self, wanted: Arc<Wanted>, notices: Sender<Noticed>) -> Self {
+        self.door.set(wanted.limits());
+        self.table = Table::new(wanted);
+        self.notices = Some(notices);
+        self
+    }
+
     /// How many batches are owed an answer.
     pub fn open(&self) -> Rc<Cell<usize>> {
         self.open.clone()
@@ -140,7 +167,7 @@
                 self.start_over(now);
             }
             self.open.set(self.batches.len());
-            self.counters.holds([self.batches.len(), self.flights.len(), self.listed.len()]);
+            self.counters.holds([self.batches.len(), self.flights.len(), self.table.len()]);
         }
     }
 
@@ -218,6 +245,7 @@
                 self.due.remove(&(flight.until, token));
                 self.counters.add(Kind::Outcome(name(outcome)), Some(flight.service_group));
                 log::debug!(
+                    batch = &*flight.batch, engine = flight.engine;
                     "batch {} dispatch {} on engine {:08x} ended {} after {:?}",
                     flight.batch,
                     flight.number,
@@ -252,6 +280,7 @@
                 let after = now.saturating_sub(at);
                 self.gateway.hear(now, Event::Probed { engine, answered, after, load });
             }
+            Heard::Managed(managed) => self.manage(now, managed),
             Heard::Closing(within) => {
                 log::info!("closing: {} batches are to be answered within {within:?}", self.batches.len());
                 self.gateway.hear(now, Event::Closing { by: now + within });
@@ -268,8 +297,14 @@
             self.counters.add(Kind::PushedBack, group);
             return taken.asker.answer(taken.ticket, Answer::PushedBack(None));
         }
+        if let Err(wait) = self.door.enter(now, taken.service_group) {
+            self.counters.add(Kind::PushedBack, group);
+            let wait = Some(wait).filter(|_| self.stated.permits.come_back);
+            return taken.asker.answer(taken.ticket, Answer::PushedBack(wait));
+        }
         if self.batches.contains_key(&taken.batch) || self.flights.values().any(|f| f.batch == taken.batch) {
             self.counters.add(Kind::Errored, group);
+            self.door.leave(now, taken.service_group);
             return taken.asker.answer(taken.ticket, Answer::Errored);
         }
         self.bytes += taken.statement.len();
@@ -302,7 +337,7 @@
     fn hear_roster(&mut self, now: Duration, kind: RosterKind, listed: Vec<Listed>) {
         self.counters.add(Kind::ChannelEvents, None);
         if kind != RosterKind::Changes {
-            self.listed.clear();
+            self.addresses.clear();
         }
         let entries: Vec<EngineEntry> = listed
             .iter()
@@ -315,24 +350,124 @@
                 started: one.started.map_or(Duration::ZERO, |unix| {
                     self.clock.of_start(unix, now, self.stated.duties.cold_for)
                 }),
+                barred: 0,
             })
             .collect();
-        for entry in &entries {
+        for (entry, one) in entries.iter().zip(&listed) {
             log::info!(
+                engine = entry.engine;
                 "engine {:08x} is {:?} in location {}, started {:?} ago",
                 entry.engine,
                 entry.state,
                 entry.location,
                 (!entry.started.is_zero()).then(|| now.saturating_sub(entry.started))
             );
-            if entry.state == EngineState::Left {
-                self.listed.remove(&entry.engine);
-            } else {
-                self.listed.insert(entry.engine, entry.clone());
-            }
+            match entry.state {
+                EngineState::Left => self.addresses.remove(&entry.engine),
+                _ => self.addresses.insert(entry.engine, one.address),
+            };
         }
         self.order(Order::Roster(kind, listed));
-        self.gateway.hear(now, Event::Roster(kind, entries));
+        let change = self.table.list(kind, entries);
+        self.change(now, kind, change);
+    }
+
+    /// Tells the gateway what has changed among the engines, and calls back what is to be called back.
+    fn change(&mut self, now: Duration, kind: RosterKind, change: Change) {
+        if self.notices.is_some() {
+            for entry in &change.entries {
+                let admin = self.table.get(entry.engine).map(|seen| seen.admin).unwrap_or_default();
+                self.notice(Noticed {
+                    engine: entry.engine,
+                    state: entry.state,
+                    admin,
+                    barred: entry.barred,
+                });
+            }
+        }
+        for engine in &change.recalled {
+            let admin = self.table.get(*engine).map(|seen| seen.admin).unwrap_or_default();
+            let effect = |group: usize| self.stated.service_groups.get(group).map(|terms| terms.effect);
+            let out: Vec<Token> = (self.flights.iter())
+                .filter(|(_, f)| {
+                    f.engine == *engine && effect(f.service_group).is_some_and(|e| admin.recalls(e))
+                })
+                .map(|(token, _)| *token)
+                .collect();
+            for token in out {
+                self.order(Order::Cancel(token));
+            }
+        }
+        if kind != RosterKind::Changes || !change.entries.is_empty() {
+            self.gateway.hear(now, Event::Roster(kind, change.entries));
+        }
+    }
+
+    fn notice(&mut self, noticed: Noticed) {
+        if let Some(notices) = &self.notices
+            && notices.try_send(noticed).is_err()
+        {
+            self.unnoticed += 1;
+        }
+    }
+
+    /// What managers ask. Wishes are looked at first and take effect with the word to switch, all in one event.
+    fn manage(&mut self, now: Duration, managed: Managed) {
+        match managed {
+            Managed::Prepare { number, wanted, reply } => {
+                let groups = self.stated.service_groups.len();
+                let known = wanted.limits().len() <= groups;
+                let verdict =
+                    if known { Ok(()) } else { Err(format!("only {groups} service groups are stated")) };
+                if known {
+                    self.prepared = Some((number, wanted));
+                }
+                let _ = reply.try_send(verdict);
+            }
+            Managed::Switch { number, reply } => {
+                let Some((_, wanted)) = self.prepared.take_if(|(prepared, _)| *prepared == number) else {
+                    let _ = reply.try_send(Err(format!("commit {number} was not prepared")));
+                    return;
+                };
+                log::info!(commit = number; "commit {number} takes effect");
+                self.door.set(wanted.limits());
+                let change = self.table.manage(wanted);
+                self.change(now, RosterKind::Changes, change);
+                let _ = reply.try_send(Ok(()));
+            }
+            Managed::Abandon { number } => {
+                self.prepared.take_if(|(prepared, _)| *prepared == number);
+            }
+            Managed::Read { reply } => {
+                let _ = reply.try_send(self.snapshot(now));
+            }
+        }
+    }
+
+    fn snapshot(&self, now: Duration) -> Snapshot {
+        let mut out: BTreeMap<EngineId, u32> = BTreeMap::new();
+        for flight in self.flights.values() {
+            *out.entry(flight.engine).or_default() += 1;
+        }
+        let engines = (self.table.engines())
+            .map(|seen| Engine {
+                address: self.addresses.get(&seen.entry.engine).copied(),
+                out: out.get(&seen.entry.engine).copied().unwrap_or_default(),
+                resting: self.gateway.resting(now, seen.entry.engine),
+                seen: seen.clone(),
+            })
+            .collect();
+        Snapshot {
+            now,
+            counts: self.counters.all(),
+            names: self.counters.names().to_vec(),
+            batches: self.batches.len(),
+            dispatches: self.flights.len(),
+            statement_bytes: self.bytes,
+            gateway: self.counters.gateway(),
+            unnoticed: self.unnoticed,
+            engines,
+        }
     }
 
     fn carry_out(&mut self, now: Duration, action: Action) {
@@ -446,7 +581,7 @@
             Answer::Errored => Kind::Errored,
         };
         self.counters.add(kind, Some(held.service_group));
-        log::debug!("batch {batch} {kind}");
+        log::debug!(batch = &**batch; "batch {batch} {kind}");
         held.asker.answer(held.ticket, answer);
     }
 
@@ -454,6 +589,7 @@
     fn close(&mut self, batch: &BatchId) -> Option<Held> {
         let held = self.batches.remove(batch)?;
         self.bytes -= held.statement.len();
+        self.door.leave(self.clock.now(), held.service_group);
         Some(held)
     }
 
@@ -475,7 +611,7 @@
         self.due.clear();
         self.wakes.clear();
         self.gateway = Gateway::new(self.stated.clone(), now.as_nanos() as u64);
-        let entries = self.listed.values().cloned().collect();
+        let entries = self.table.engines().map(|seen| seen.entry.clone()).collect();
         self.gateway.hear(now, Event::Roster(RosterKind::Full, entries));
         self.wakes.insert(now);
     }
--- a/crates/simhost/src/translate.rs
+++ b/crates/simhost/src/translate.rs
@@ -67,6 +67,7 @@
             State::Left => EngineState::Left,
         },
         started: span(entry.started_at_us),
+        barred: 0,
     }
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -141,7 +141,7 @@
     Left,
 }
 
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct EngineEntry {
     pub engine: EngineId,
     pub location: u32,
@@ -150,6 +150,9 @@
     pub state: EngineState,
     /// When it last started; zero for long ago.
     pub started: Duration,
+    /// A bit for each service group that may not be sent there, whatever else holds. An engine that is barred
+    /// to all is kept in mind: what it had been sent while cold still counts once it is open again.
+    pub barred: u64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -719,6 +719,11 @@
         Some((seq, *engine))
     }
 
+    /// Whether nothing is sent there for now, after faults.
+    pub fn resting(&self, now: Duration, engine: EngineId) -> bool {
+        self.engines.get(&engine).is_some_and(|engine| engine.rests_until > now)
+    }
+
     /// The engines in the order hashed from the batch's table group, the same at every front.
     fn order(&mut self, seq: u64) -> Vec<EngineId> {
         let batch = &self.batches[&seq];
@@ -767,7 +772,8 @@
             _ => true,
         };
         let rested = engine.rests_until <= now && (engine.strikes == 0 || engine.out == 0);
-        let active = entry.state == EngineState::Active;
+        let barred = entry.barred.checked_shr(batch.row as u32).is_some_and(|bits| bits & 1 == 1);
+        let active = entry.state == EngineState::Active && !barred;
         active && placed && reached && rested && self.cold_room(now, batch, engine)
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -117,6 +117,28 @@
     assert!(!engines.is_empty() && engines.iter().all(|e| *e == 3));
 }
 
+#[test]
+fn an_engine_barred_to_a_service_group_gets_none_of_it_and_stays_as_cold_as_it_is() {
+    let mut host = Host::of(2);
+    let barred = |bits, started| EngineEntry { barred: bits, started, ..entry(1) };
+    host.tell(Event::Roster(RosterKind::Changes, vec![barred(1 << SHORT, ms(0))]));
+    assert!(host.flood(6, SHORT, 3).iter().all(|e| *e == 2));
+    assert!(host.flood(6, REPORT, 3).contains(&1));
+
+    // Barred to all and opened again within the window, a cold engine takes no second share.
+    let mut host = Host::of(0);
+    let started = host.now;
+    host.tell(Event::Roster(RosterKind::Changes, vec![barred(0, started)]));
+    let mut early = 0;
+    for turn in 0..15 {
+        early += host.flood(20, SHORT, 3).len();
+        let bits = if turn % 2 == 0 { u64::MAX } else { 0 };
+        host.tell(Event::Roster(RosterKind::Changes, vec![barred(bits, started)]));
+        host.wait(ms(100));
+    }
+    assert!((1..=10).contains(&early), "{early} went to the cold engine");
+}
+
 #[test]
 fn a_cold_engine_gets_no_more_work_than_its_share_in_any_window() {
     let mut host = Host::of(0);
