YANG model, data trees and the transactional store with its log

Change: crates/model compiles lemonusher-front.yang (an unknown statement is an error with its line), holds shared trees, paths with wildcards, validation with must, leafref and element counts, differences and RFC 7951 JSON. crates/store has running, candidate (shared and private) and startup, edits, merging of a candidate with what was set meanwhile, locks that die with their owners, confirmed commits (persist, follow-up, extension, cancel), history and rollback, a checksummed log with recovery and compaction, and the round that has all parts prepare before any switches.

--- /dev/null
+++ b/crates/model/src/schema.rs
@@ -0,0 +1,460 @@
+//! Compiles a module to the nodes that data is checked against. A statement that is not known is an error with
+//! its line, never passed over: what the model's text says holds, or the front does not start.
+
+use crate::must::Must;
+use crate::statement::{Statement, Wrong};
+use crate::types::{Type, integer_bounds, parse_ranges};
+use regex::Regex;
+use std::collections::BTreeMap;
+
+/// Number of a node in its schema.
+pub type NodeId = usize;
+
+const MODEL: &str = include_str!("../yang/lemonusher-front.yang");
+/// Groupings and types may refer to each other no deeper than this.
+const DEEPEST: usize = 16;
+
+#[derive(Debug)]
+pub enum Kind {
+    Container,
+    List { keys: Vec<NodeId>, min: usize, max: usize },
+    Leaf { ty: Type, default: Option<String>, mandatory: bool },
+    LeafList { ty: Type, min: usize, max: usize },
+    Notification,
+}
+
+#[derive(Debug)]
+pub struct SchemaNode {
+    pub name: String,
+    pub kind: Kind,
+    /// Whether it may be set; else it is state.
+    pub config: bool,
+    pub parent: Option<NodeId>,
+    pub children: Vec<NodeId>,
+    pub musts: Vec<Must>,
+    pub units: Option<String>,
+    pub description: Option<String>,
+    /// Where it stands in the model's text.
+    pub line: usize,
+}
+
+impl SchemaNode {
+    /// The type of a leaf or leaf-list.
+    pub fn leaf_type(&self) -> Option<&Type> {
+        match &self.kind {
+            Kind::Leaf { ty, .. } | Kind::LeafList { ty, .. } => Some(ty),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Debug)]
+pub struct Schema {
+    pub module: String,
+    pub namespace: String,
+    pub prefix: String,
+    pub revision: Option<String>,
+    pub organization: String,
+    /// The module as written, for those who ask for it.
+    pub text: String,
+    nodes: Vec<SchemaNode>,
+    tops: Vec<NodeId>,
+    notifications: Vec<NodeId>,
+}
+
+impl Schema {
+    /// The front's own model.
+    pub fn front() -> Result<Schema, Wrong> {
+        Schema::compile(MODEL)
+    }
+
+    pub fn compile(text: &str) -> Result<Schema, Wrong> {
+        let module = Statement::parse(text)?;
+        if module.keyword != "module" {
+            return Err(module.wrong(format!("'{}' stands where 'module' should", module.keyword)));
+        }
+        let need = |keyword: &str| {
+            let found = module.sub_arg(keyword)?;
+            found.map(str::to_owned).ok_or_else(|| module.wrong(format!("the module has no '{keyword}'")))
+        };
+        if need("yang-version")? != "1.1" {
+            return Err(module.wrong("only yang-version 1.1 is known"));
+        }
+        let schema = Schema {
+            module: module.arg()?.to_owned(),
+            namespace: need("namespace")?,
+            prefix: need("prefix")?,
+            revision: module.sub_arg("revision")?.map(str::to_owned),
+            organization: module.sub_arg("organization")?.unwrap_or_default().to_owned(),
+            text: text.to_owned(),
+            nodes: Vec::new(),
+            tops: Vec::new(),
+            notifications: Vec::new(),
+        };
+        let mut compiler = Compiler {
+            schema,
+            groupings: by_name(&module, "grouping")?,
+            typedefs: by_name(&module, "typedef")?,
+            leafrefs: Vec::new(),
+        };
+        for sub in &module.subs {
+            match sub.keyword.as_str() {
+                "yang-version" | "namespace" | "prefix" | "organization" | "contact" | "description"
+                | "reference" | "revision" | "grouping" | "typedef" => {}
+                "notification" => {
+                    let id = compiler.node(sub, None, false, 0)?;
+                    compiler.schema.notifications.push(id);
+                }
+                _ => {
+                    let made = compiler.data(sub, None, true, 0)?;
+                    compiler.schema.tops.extend(made);
+                }
+            }
+        }
+        compiler.point()?;
+        Ok(compiler.schema)
+    }
+
+    pub fn node(&self, id: NodeId) -> &SchemaNode {
+        &self.nodes[id]
+    }
+
+    /// The nodes below one, or at the top.
+    pub fn children(&self, parent: Option<NodeId>) -> &[NodeId] {
+        match parent {
+            Some(parent) => &self.nodes[parent].children,
+            None => &self.tops,
+        }
+    }
+
+    pub fn child(&self, parent: Option<NodeId>, name: &str) -> Option<NodeId> {
+        self.children(parent).iter().copied().find(|id| self.nodes[*id].name == name)
+    }
+
+    pub fn notification(&self, name: &str) -> Option<NodeId> {
+        self.notifications.iter().copied().find(|id| self.nodes[*id].name == name)
+    }
+
+    /// The nodes from the top down to this one.
+    pub fn line_of(&self, id: NodeId) -> Vec<NodeId> {
+        let mut line: Vec<NodeId> = std::iter::successors(Some(id), |id| self.nodes[*id].parent).collect();
+        line.reverse();
+        line
+    }
+
+    /// The keys of a list, in order.
+    pub fn keys(&self, id: NodeId) -> &[NodeId] {
+        match &self.nodes[id].kind {
+            Kind::List { keys, .. } => keys,
+            _ => &[],
+        }
+    }
+
+    /// Whether the node is a key of the list that it stands in.
+    pub fn is_key(&self, id: NodeId) -> bool {
+        self.nodes[id].parent.is_some_and(|parent| self.keys(parent).contains(&id))
+    }
+
+    /// A leaf's default.
+    pub fn default_of(&self, id: NodeId) -> Option<&str> {
+        match &self.nodes[id].kind {
+            Kind::Leaf { default, .. } => default.as_deref(),
+            _ => None,
+        }
+    }
+}
+
+fn by_name<'a>(module: &'a Statement, keyword: &str) -> Result<BTreeMap<String, &'a Statement>, Wrong> {
+    let mut found = BTreeMap::new();
+    for sub in module.subs.iter().filter(|sub| sub.keyword == keyword) {
+        if found.insert(sub.arg()?.to_owned(), sub).is_some() {
+            return Err(sub.wrong(format!("{keyword} '{}' stands twice", sub.arg()?)));
+        }
+    }
+    Ok(found)
+}
+
+struct Compiler<'a> {
+    schema: Schema,
+    groupings: BTreeMap<String, &'a Statement>,
+    typedefs: BTreeMap<String, &'a Statement>,
+    /// Leaves that point elsewhere, and where to.
+    leafrefs: Vec<(NodeId, String, usize)>,
+}
+
+impl<'a> Compiler<'a> {
+    /// A data node, or those that a grouping brings.
+    fn data(
+        &mut self,
+        statement: &'a Statement,
+        parent: Option<NodeId>,
+        config: bool,
+        depth: usize,
+    ) -> Result<Vec<NodeId>, Wrong> {
+        if depth > DEEPEST {
+            return Err(statement.wrong("groupings use each other too deeply"));
+        }
+        match statement.keyword.as_str() {
+            "container" | "list" | "leaf" | "leaf-list" => {
+                Ok(vec![self.node(statement, parent, config, depth)?])
+            }
+            "uses" => {
+                let name = statement.arg()?;
+                if let Some(sub) = statement.subs.first() {
+                    return Err(sub.wrong(format!("'{}' is not known in 'uses'", sub.keyword)));
+                }
+                let grouping = self.groupings.get(name).copied();
+                let grouping =
+                    grouping.ok_or_else(|| statement.wrong(format!("there is no grouping '{name}'")))?;
+                let mut made = Vec::new();
+                for sub in grouping.subs.iter().filter(|sub| sub.keyword != "description") {
+                    made.extend(self.data(sub, parent, config, depth + 1)?);
+                }
+                Ok(made)
+            }
+            other => Err(statement.wrong(format!("statement '{other}' is not known here"))),
+        }
+    }
+
+    fn node(
+        &mut self,
+        statement: &'a Statement,
+        parent: Option<NodeId>,
+        config: bool,
+        depth: usize,
+    ) -> Result<NodeId, Wrong> {
+        let name = statement.arg()?.to_owned();
+        let config = match statement.sub_arg("config")? {
+            None => config,
+            Some("false") => false,
+            Some("true") if config => true,
+            Some(_) => return Err(statement.wrong("'config' is true or false, and false below false")),
+        };
+        if self.schema.children(parent).iter().any(|id| self.schema.nodes[*id].name == name) {
+            return Err(statement.wrong(format!("'{name}' stands twice")));
+        }
+        let id = self.schema.nodes.len();
+        self.schema.nodes.push(SchemaNode {
+            name,
+            kind: Kind::Container,
+            config,
+            parent,
+            children: Vec::new(),
+            musts: Vec::new(),
+            units: statement.sub_arg("units")?.map(str::to_owned),
+            description: statement.sub_arg("description")?.map(str::to_owned),
+            line: statement.line,
+        });
+        let holds = matches!(statement.keyword.as_str(), "container" | "list" | "notification");
+        for sub in &statement.subs {
+            match sub.keyword.as_str() {
+                "description" | "reference" | "config" | "status" => {}
+                "units" | "type" | "default" | "mandatory" if !holds => {}
+                "key" if statement.keyword == "list" => {}
+                "min-elements" | "max-elements"
+                    if matches!(statement.keyword.as_str(), "list" | "leaf-list") => {}
+                "ordered-by" if sub.arg()? == "system" => {}
+                "must" => {
+                    let must = Must::compile(sub)?;
+                    self.schema.nodes[id].musts.push(must);
+                }
+                "container" | "list" | "leaf" | "leaf-list" | "uses" if holds => {
+                    let made = self.data(sub, Some(id), config, depth)?;
+                    self.schema.nodes[id].children.extend(made);
+                }
+                other => {
+                    let what = format!("statement '{other}' is not known in '{}'", statement.keyword);
+                    return Err(sub.wrong(what));
+                }
+            }
+        }
+        self.schema.nodes[id].kind = match statement.keyword.as_str() {
+            "container" => Kind::Container,
+            "notification" => Kind::Notification,
+            "list" => self.list(statement, id)?,
+            "leaf" => {
+                let ty = self.type_of(statement, id, 0)?;
+                let default = statement.sub_arg("default")?.map(str::to_owned);
+                let mandatory = statement.sub_arg("mandatory")? == Some("true");
+                if mandatory && default.is_some() {
+                    return Err(statement.wrong("a mandatory leaf has no default"));
+                }
+                Kind::Leaf { ty, default, mandatory }
+            }
+            _ => {
+                let (min, max) = elements(statement)?;
+                Kind::LeafList { ty: self.type_of(statement, id, 0)?, min, max }
+            }
+        };
+        Ok(id)
+    }
+
+    fn list(&mut self, statement: &Statement, id: NodeId) -> Result<Kind, Wrong> {
+        let (min, max) = elements(statement)?;
+        let key = statement.sub_arg("key")?.ok_or_else(|| statement.wrong("a list needs a 'key'"))?;
+        let mut keys = Vec::new();
+        for name in key.split_whitespace() {
+            let leaf = self.schema.child(Some(id), name);
+            let leaf = leaf
+                .filter(|leaf| matches!(self.schema.nodes[*leaf].kind, Kind::Leaf { .. }))
+                .ok_or_else(|| statement.wrong(format!("key '{name}' is no leaf of the list")))?;
+            keys.push(leaf);
+        }
+        if keys.is_empty() {
+            return Err(statement.wrong("a list needs a 'key'"));
+        }
+        Ok(Kind::List { keys, min, max })
+    }
+
+    fn type_of(&mut self, holder: &'a Statement, id: NodeId, depth: usize) -> Result<Type, Wrong> {
+        let ty = holder.sub("type").ok_or_else(|| holder.wrong("it has no 'type'"))?;
+        let name = ty.arg()?;
+        let known = |allowed: &[&str]| match ty.subs.iter().find(|s| !allowed.contains(&s.keyword.as_str())) {
+            Some(sub) => Err(sub.wrong(format!("'{}' is not known in type '{name}'", sub.keyword))),
+            None => Ok(()),
+        };
+        if let Some(bounds) = integer_bounds(name) {
+            known(&["range"])?;
+            let ranges = match ty.sub("range") {
+                Some(range) => parse_ranges(range.arg()?, bounds).map_err(|what| range.wrong(what))?,
+                None => vec![bounds],
+            };
+            return Ok(Type::Integer { name: name.to_owned(), ranges });
+        }
+        match name {
+            "string" => {
+                known(&["length", "pattern"])?;
+                let lengths = match ty.sub("length") {
+                    Some(length) => {
+                        let all = (0, i128::from(u64::MAX));
+                        parse_ranges(length.arg()?, all).map_err(|what| length.wrong(what))?
+                    }
+                    None => Vec::new(),
+                };
+                let mut patterns = Vec::new();
+                for pattern in ty.subs.iter().filter(|sub| sub.keyword == "pattern") {
+                    // A pattern of YANG's means the whole value.
+                    let whole = format!("^(?:{})$", pattern.arg()?);
+                    patterns.push(Regex::new(&whole).map_err(|error| {
+                        pattern
+                            .wrong(format!("pattern can't be used: {}", error.to_string().replace('\n', " ")))
+                    })?);
+                }
+                Ok(Type::String { lengths, patterns })
+            }
+            "boolean" => known(&[]).map(|()| Type::Boolean),
+            "enumeration" => {
+                known(&["enum"])?;
+                let names: Result<Vec<String>, Wrong> =
+                    ty.subs.iter().map(|sub| sub.arg().map(str::to_owned)).collect();
+                Ok(Type::Enumeration(names?))
+            }
+            "leafref" => {
+                known(&["path"])?;
+                let path = ty.sub("path").ok_or_else(|| ty.wrong("a leafref needs a 'path'"))?;
+                self.leafrefs.push((id, path.arg()?.to_owned(), path.line));
+                // What it points at is known once all nodes are.
+                Ok(Type::Leafref { target: id, inner: Box::new(Type::Boolean) })
+            }
+            other => {
+                let Some(typedef) = self.typedefs.get(other).copied() else {
+                    return Err(ty.wrong(format!("type '{other}' is not known")));
+                };
+                if depth > DEEPEST {
+                    return Err(ty.wrong("types refer to each other too deeply"));
+                }
+                known(&[])?;
+                self.type_of(typedef, id, depth + 1)
+            }
+        }
+    }
+
+    /// Points leafrefs at their leaves and checks the defaults.
+    fn point(&mut self) -> Result<(), Wrong> {
+        for (id, path, line) in std::mem::take(&mut self.leafrefs) {
+            let wrong = |what: &str| Wrong { line, what: format!("leafref path '{path}' {what}") };
+            let Some(rest) = path.strip_prefix('/') else { return Err(wrong("is not absolute")) };
+            let mut at = None;
+            for step in rest.split('/') {
+                let name = step.split_once(':').map_or(step, |(_, name)| name);
+                at = Some(self.schema.child(at, name).ok_or_else(|| wrong("leads nowhere"))?);
+            }
+            let target = at.ok_or_else(|| wrong("leads nowhere"))?;
+            let node = &self.schema.nodes[target];
+            let inner = match &node.kind {
+                Kind::Leaf { ty, .. } if !matches!(ty, Type::Leafref { .. }) => Box::new(ty.clone()),
+                _ => return Err(wrong("leads to no plain leaf")),
+            };
+            if self.schema.nodes[id].config && !node.config {
+                return Err(wrong("leads from config to state"));
+            }
+            let pointed = Type::Leafref { target, inner };
+            match &mut self.schema.nodes[id].kind {
+                Kind::Leaf { ty, .. } | Kind::LeafList { ty, .. } => *ty = pointed,
+                _ => {}
+            }
+        }
+        for (id, node) in self.schema.nodes.iter().enumerate() {
+            for must in &node.musts {
+                let wrong = |what| Wrong { line: node.line, what: format!("must '{}': {what}", must.text) };
+                must.check(&self.schema, id).map_err(wrong)?;
+            }
+            if let Kind::Leaf { ty, default: Some(default), .. } = &node.kind
+                && let Err(what) = ty.canonical(default)
+            {
+                return Err(Wrong { line: node.line, what: format!("the default {what}") });
+            }
+        }
+        Ok(())
+    }
+}
+
+fn elements(statement: &Statement) -> Result<(usize, usize), Wrong> {
+    let number = |keyword: &str, usual: usize| match statement.sub_arg(keyword)? {
+        None | Some("unbounded") => Ok(usual),
+        Some(text) => text.parse().map_err(|_| statement.wrong(format!("'{keyword}' needs a number"))),
+    };
+    Ok((number("min-elements", 0)?, number("max-elements", usize::MAX)?))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn wrong(body: &str) -> Wrong {
+        let text = format!("module m {{\nyang-version 1.1;\nnamespace 'urn:m';\nprefix m;\n{body}\n}}");
+        Schema::compile(&text).expect_err(body)
+    }
+
+    #[test]
+    fn the_fronts_model_compiles() {
+        let schema = Schema::front().unwrap();
+        assert_eq!(schema.module, "lemonusher-front");
+        assert!(schema.notification("engine-changed").is_some());
+    }
+
+    #[test]
+    fn what_is_not_known_is_told_by_its_line() {
+        for (body, line, what) in [
+            ("rpc x;", 5, "'rpc'"),
+            ("container a {\n anydata b;\n}", 6, "'anydata'"),
+            ("leaf a { type flags; }", 5, "'flags'"),
+            ("leaf a {\n type string {\n  pattern '[';\n } }", 7, "pattern"),
+            ("leaf a { type uint8 { range \"1..300\"; } }", 5, "outside"),
+            ("leaf a { type uint8; default 300; }", 5, "default"),
+            ("list l { leaf a { type string; } }", 5, "key"),
+            ("list l { key b; leaf a { type string; } }", 5, "'b'"),
+            ("leaf a { type leafref { path '/m:b'; } }", 5, "nowhere"),
+            ("leaf a { type string; } leaf a { type string; }", 5, "twice"),
+            ("container c { config false; leaf a { config true; type string; } }", 5, "config"),
+            ("leaf a { type string; must 'a =='; }", 5, "must"),
+            ("uses g;", 5, "grouping"),
+            ("grouping g { uses g; } uses g;", 5, "deeply"),
+            ("typedef t { type t; } leaf a { type t; }", 5, "deeply"),
+            ("leaf a { type string; when 'b'; }", 5, "'when'"),
+        ] {
+            let found = wrong(body);
+            assert!(found.line == line && found.what.contains(what), "{body}: {found}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/statement.rs
@@ -0,0 +1,257 @@
+//! YANG's grammar of statements (RFC 7950, section 6): a keyword, an argument, and statements within.
+
+use std::fmt;
+use std::iter::Peekable;
+use std::str::Chars;
+
+const DEEPEST: usize = 32;
+
+/// One statement with all that stands in it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Statement {
+    pub keyword: String,
+    pub argument: Option<String>,
+    /// From 1.
+    pub line: usize,
+    pub subs: Vec<Statement>,
+}
+
+/// What can't be read or is not known, and on which line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wrong {
+    pub line: usize,
+    pub what: String,
+}
+
+impl fmt::Display for Wrong {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "line {}: {}", self.line, self.what)
+    }
+}
+
+impl Statement {
+    pub fn parse(text: &str) -> Result<Statement, Wrong> {
+        let mut reader = Reader { rest: text.chars().peekable(), line: 1 };
+        let statement = reader.statement(0)?;
+        match reader.token()? {
+            None => Ok(statement),
+            Some(_) => Err(reader.wrong("something stands after the module")),
+        }
+    }
+
+    /// The argument, which must be there.
+    pub fn arg(&self) -> Result<&str, Wrong> {
+        self.argument.as_deref().ok_or_else(|| self.wrong(format!("'{}' needs an argument", self.keyword)))
+    }
+
+    /// The first statement in it with this keyword.
+    pub fn sub(&self, keyword: &str) -> Option<&Statement> {
+        self.subs.iter().find(|sub| sub.keyword == keyword)
+    }
+
+    pub fn sub_arg(&self, keyword: &str) -> Result<Option<&str>, Wrong> {
+        self.sub(keyword).map(Statement::arg).transpose()
+    }
+
+    pub fn wrong(&self, what: impl Into<String>) -> Wrong {
+        Wrong { line: self.line, what: what.into() }
+    }
+}
+
+enum Token {
+    Word(String),
+    Quoted(String),
+    Open,
+    Close,
+    End,
+    Plus,
+}
+
+struct Reader<'a> {
+    rest: Peekable<Chars<'a>>,
+    line: usize,
+}
+
+impl Reader<'_> {
+    fn wrong(&self, what: &str) -> Wrong {
+        Wrong { line: self.line, what: what.to_owned() }
+    }
+
+    fn next(&mut self) -> Option<char> {
+        let next = self.rest.next();
+        self.line += usize::from(next == Some('\n'));
+        next
+    }
+
+    fn statement(&mut self, depth: usize) -> Result<Statement, Wrong> {
+        if depth > DEEPEST {
+            return Err(self.wrong("statements are nested too deeply"));
+        }
+        let keyword = match self.token()? {
+            Some(Token::Word(word)) => word,
+            _ => return Err(self.wrong("a keyword should stand here")),
+        };
+        let line = self.line;
+        let mut statement = Statement { keyword, argument: None, line, subs: Vec::new() };
+        let mut token = self.token()?;
+        if let Some(Token::Word(text) | Token::Quoted(text)) = token {
+            let mut whole = text;
+            token = self.token()?;
+            while let Some(Token::Plus) = token {
+                let Some(Token::Quoted(more)) = self.token()? else {
+                    return Err(self.wrong("a quoted string should follow '+'"));
+                };
+                whole.push_str(&more);
+                token = self.token()?;
+            }
+            statement.argument = Some(whole);
+        }
+        match token {
+            Some(Token::End) => Ok(statement),
+            Some(Token::Open) => {
+                while !self.closes()? {
+                    statement.subs.push(self.statement(depth + 1)?);
+                }
+                Ok(statement)
+            }
+            _ => Err(self.wrong("';' or '{' should stand here")),
+        }
+    }
+
+    fn closes(&mut self) -> Result<bool, Wrong> {
+        self.skip()?;
+        let closes = self.rest.peek() == Some(&'}');
+        if closes {
+            self.next();
+        }
+        Ok(closes)
+    }
+
+    /// Passes over white space and comments.
+    fn skip(&mut self) -> Result<(), Wrong> {
+        loop {
+            match self.rest.peek() {
+                Some(c) if c.is_whitespace() => drop(self.next()),
+                Some('/') => {
+                    let mut ahead = self.rest.clone();
+                    ahead.next();
+                    match ahead.next() {
+                        Some('/') => while self.next().is_some_and(|c| c != '\n') {},
+                        Some('*') => self.comment()?,
+                        _ => return Ok(()),
+                    }
+                }
+                _ => return Ok(()),
+            }
+        }
+    }
+
+    fn comment(&mut self) -> Result<(), Wrong> {
+        self.next();
+        self.next();
+        let mut last = ' ';
+        loop {
+            match self.next() {
+                None => return Err(self.wrong("a comment does not end")),
+                Some('/') if last == '*' => return Ok(()),
+                Some(c) => last = c,
+            }
+        }
+    }
+
+    fn token(&mut self) -> Result<Option<Token>, Wrong> {
+        self.skip()?;
+        let Some(first) = self.rest.peek().copied() else { return Ok(None) };
+        let token = match first {
+            '{' => Token::Open,
+            '}' => Token::Close,
+            ';' => Token::End,
+            '+' => Token::Plus,
+            '\'' => {
+                self.next();
+                return self.single().map(Some);
+            }
+            '"' => {
+                self.next();
+                return self.double().map(Some);
+            }
+            _ => {
+                let mut word = String::new();
+                while let Some(c) = self.rest.peek() {
+                    if c.is_whitespace() || matches!(c, '{' | '}' | ';' | '"' | '\'') {
+                        break;
+                    }
+                    word.extend(self.next());
+                }
+                return Ok(Some(Token::Word(word)));
+            }
+        };
+        self.next();
+        Ok(Some(token))
+    }
+
+    fn single(&mut self) -> Result<Token, Wrong> {
+        let from = self.line;
+        let mut text = String::new();
+        loop {
+            match self.next() {
+                None => return Err(Wrong { line: from, what: "a string does not end".to_owned() }),
+                Some('\'') => return Ok(Token::Quoted(text)),
+                Some(c) => text.push(c),
+            }
+        }
+    }
+
+    /// White space round a line break counts as the break alone.
+    fn double(&mut self) -> Result<Token, Wrong> {
+        let from = self.line;
+        let mut text = String::new();
+        loop {
+            match self.next() {
+                None => return Err(Wrong { line: from, what: "a string does not end".to_owned() }),
+                Some('"') => return Ok(Token::Quoted(text)),
+                Some('\\') => match self.next() {
+                    Some('n') => text.push('\n'),
+                    Some('t') => text.push('\t'),
+                    Some(c @ ('"' | '\\')) => text.push(c),
+                    _ => return Err(self.wrong("after '\\' only n, t, '\"' and '\\' may stand")),
+                },
+                Some('\n') => {
+                    text.truncate(text.trim_end_matches([' ', '\t']).len());
+                    text.push('\n');
+                    while self.rest.next_if(|c| matches!(c, ' ' | '\t')).is_some() {}
+                }
+                Some(c) => text.push(c),
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn strings_join_and_comments_do_not_count() {
+        let text = "module /* a\n */ m { // b\n description \"x\" + 'y\\' ;\n leaf a; }";
+        let module = Statement::parse(text).unwrap();
+        assert_eq!(module.sub_arg("description"), Ok(Some("xy\\")));
+        assert_eq!((module.subs[1].line, module.subs[1].keyword.as_str()), (4, "leaf"));
+    }
+
+    #[test]
+    fn what_is_broken_is_told_by_line() {
+        for (text, line) in [
+            ("module m {\n leaf a", 2),
+            ("module m {\n\n leaf \"a", 3),
+            ("module m;\nmore;", 2),
+            ("module m { /* ", 1),
+            ("module m { a \"\\x\"; }", 1),
+            ("", 1),
+        ] {
+            assert_eq!(Statement::parse(text).unwrap_err().line, line, "{text}");
+        }
+        let deep = "a {".repeat(1000);
+        assert!(Statement::parse(&deep).unwrap_err().what.contains("deeply"));
+    }
+}
--- /dev/null
+++ b/crates/model/tests/trees.rs
@@ -0,0 +1,296 @@
+//! Trees against a plain map of leaves, through any order of edits; paths, JSON and validation.
+
+use lemonusher_model::*;
+use proptest::prelude::*;
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+fn schema() -> Schema {
+    Schema::front().unwrap()
+}
+
+fn place(schema: &Schema, text: &str) -> Place {
+    schema.place(&parse_path(text).unwrap()).unwrap()
+}
+
+fn put(schema: &Schema, tree: &mut Tree, path: &str, value: &str) {
+    let place = place(schema, path);
+    tree.apply(schema, Op::Merge, &place, Some(&Node::Leaf(value.into()))).unwrap();
+}
+
+/// All leaves by their paths.
+fn leaves(schema: &Schema, tree: &Tree) -> BTreeMap<String, String> {
+    let mut found = BTreeMap::new();
+    tree.each(|place, value| drop(found.insert(schema.text(place), value.to_string())));
+    found
+}
+
+#[derive(Debug, Clone)]
+struct Edit {
+    op: Op,
+    target: u8,
+    pool: u8,
+    value: u8,
+}
+
+fn an_edit() -> impl Strategy<Value = Edit> {
+    let op = prop::sample::select(vec![Op::Merge, Op::Replace, Op::Create, Op::Delete, Op::Remove]);
+    (op, 0..5u8, 0..3u8, 0..3u8).prop_map(|(op, target, pool, value)| Edit { op, target, pool, value })
+}
+
+/// What an edit does to a plain map of leaves: whether it is refused, and the map.
+fn reference(map: &mut BTreeMap<String, String>, edit: &Edit) -> bool {
+    let pool = format!("/front/pool[name=p{}]", edit.pool);
+    let state = ["enabled", "draining", "disabled"][edit.value as usize].to_owned();
+    let (at, members): (String, Vec<(String, String)>) = match edit.target {
+        0 => (format!("{pool}/admin-state"), vec![(format!("{pool}/admin-state"), state)]),
+        1 => {
+            let at = format!("{pool}/cell[.={}]", edit.value);
+            (at.clone(), vec![(at, edit.value.to_string())])
+        }
+        2 => (
+            pool.clone(),
+            vec![(format!("{pool}/admin-state"), state), (format!("{pool}/cell[.=7]"), "7".to_owned())],
+        ),
+        3 => ("/front/pool".to_owned(), vec![(format!("{pool}/admin-state"), state)]),
+        _ => ("/front/log-level".to_owned(), vec![("/front/log-level".to_owned(), "warn".to_owned())]),
+    };
+    let under = |path: &String| {
+        path == &at || path.strip_prefix(&at).is_some_and(|rest| rest.starts_with(['/', '[']))
+    };
+    let there = map.keys().any(under);
+    match edit.op {
+        Op::Create if there => return false,
+        Op::Delete if !there => return false,
+        _ => {}
+    }
+    if edit.op != Op::Merge && edit.op != Op::Create {
+        map.retain(|path, _| !under(path));
+    }
+    if matches!(edit.op, Op::Merge | Op::Replace | Op::Create) {
+        if edit.target < 4 {
+            map.insert(format!("{pool}/name"), format!("p{}", edit.pool));
+        }
+        map.extend(members);
+    }
+    true
+}
+
+fn carry_out(schema: &Schema, tree: &mut Tree, edit: &Edit) -> bool {
+    let state = ["enabled", "draining", "disabled"][edit.value as usize];
+    let pool = format!("/front/pool[name=p{}]", edit.pool);
+    let (path, value) = match edit.target {
+        0 => (format!("{pool}/admin-state"), json!(state)),
+        1 => (format!("{pool}/cell[.={}]", edit.value), json!(edit.value)),
+        2 => (pool, json!({"name": format!("p{}", edit.pool), "admin-state": state, "cell": [7]})),
+        3 => ("/front/pool".into(), json!([{"name": format!("p{}", edit.pool), "admin-state": state}])),
+        _ => ("/front/log-level".into(), json!("warn")),
+    };
+    let place = place(schema, &path);
+    let last = place.last().unwrap();
+    let node = from_json(schema, Some(last.node), last.keys.is_some(), &value).unwrap();
+    tree.apply(schema, edit.op, &place, Some(&node)).is_ok()
+}
+
+proptest! {
+    #[test]
+    fn edits_do_what_they_do_to_a_map_of_leaves(edits in prop::collection::vec(an_edit(), 1..40)) {
+        let schema = schema();
+        let (mut tree, mut map) = (Tree::default(), BTreeMap::new());
+        for edit in &edits {
+            let before = tree.clone();
+            let done = carry_out(&schema, &mut tree, edit);
+            prop_assert_eq!(done, reference(&mut map, edit), "{:?}", edit);
+            prop_assert_eq!(&leaves(&schema, &tree), &map, "{:?}", edit);
+            prop_assert!(done || tree == before);
+            // The changes lead there and back.
+            let changes = diff(&before, &tree);
+            let mut there = before.clone();
+            there.follow(&schema, &changes).unwrap();
+            prop_assert_eq!(&there, &tree);
+            there.follow(&schema, &revert(&changes)).unwrap();
+            prop_assert_eq!(&there, &before);
+            prop_assert!(diff(&tree, &tree.clone()).is_empty());
+        }
+        // JSON there and back.
+        let whole = Node::Container(tree.fields().clone());
+        let json = to_json(&schema, None, &whole);
+        prop_assert_eq!(from_json(&schema, None, false, &json).unwrap(), whole);
+        // Every leaf's path leads to it.
+        for (path, value) in &map {
+            let place = place(&schema, path);
+            prop_assert!(matches!(tree.get(&place), Some(Found::Leaf(held)) if &**held == value.as_str()));
+        }
+    }
+
+    #[test]
+    fn any_text_is_a_path_or_an_error(text in "\\PC{0,40}") {
+        if let Ok(steps) = parse_path(&text) {
+            let schema = schema();
+            let _ = (schema.place(&steps), schema.patterns(&steps));
+        }
+    }
+
+    #[test]
+    fn keys_may_hold_anything(value in "[ -~]{0,12}") {
+        let schema = schema();
+        let place = vec![
+            Seg { node: schema.child(None, "front").unwrap(), keys: None },
+            Seg { node: schema.child(schema.child(None, "front"), "pool").unwrap(), keys: Some(vec![value.as_str().into()]) },
+        ];
+        let steps = parse_path(&schema.text(&place)).unwrap();
+        prop_assert_eq!(&steps[1].keys, &vec![("name".to_owned(), value)]);
+    }
+}
+
+#[test]
+fn what_does_not_hold_is_told_with_its_place() {
+    let schema = schema();
+    type Case<'a> = (&'a [(&'a str, &'a str)], FaultKind, &'a str, &'a str);
+    let cases: [Case; 4] = [
+        (
+            &[("/front/pool[name=a]/serves[.=report]", "report")],
+            FaultKind::MissingInstance,
+            "/front/pool[name=a]/serves",
+            "instance-required",
+        ),
+        (
+            &[
+                ("/front/service-group[name=report]/come-back", "900"),
+                ("/front/service-group[name=report]/longest-come-back", "100"),
+            ],
+            FaultKind::MustViolation,
+            "/front/service-group[name=report]/longest-come-back",
+            "come-back-order",
+        ),
+        (
+            // The default is heeded where nothing is set.
+            &[("/front/service-group[name=report]/longest-come-back", "100")],
+            FaultKind::MustViolation,
+            "/front/service-group[name=report]/longest-come-back",
+            "come-back-order",
+        ),
+        (
+            &[("/front/pool[name=a]/drained-for", "a new disk")],
+            FaultKind::MustViolation,
+            "/front/pool[name=a]",
+            "enabled-with-reason",
+        ),
+    ];
+    for (leaves, kind, path, tag) in cases {
+        let mut tree = Tree::default();
+        leaves.iter().for_each(|(path, value)| put(&schema, &mut tree, path, value));
+        let found = schema.validate(&tree).unwrap_err();
+        assert_eq!(found.len(), 1, "{found:?}");
+        assert_eq!((found[0].kind, found[0].path.as_deref()), (kind, Some(path)));
+        assert_eq!(found[0].tag.as_deref(), Some(tag));
+    }
+    let mut tree = Tree::default();
+    put(&schema, &mut tree, "/front/service-group[name=report]/most-open", "5");
+    put(&schema, &mut tree, "/front/pool[name=a]/serves[.=report]", "report");
+    put(&schema, &mut tree, "/front/pool[name=a]/admin-state", "draining");
+    put(&schema, &mut tree, "/front/pool[name=a]/drained-for", "a new disk");
+    assert_eq!(schema.validate(&tree), Ok(()));
+}
+
+#[test]
+fn counts_and_what_is_mandatory_are_checked_everywhere() {
+    let text = "module m { yang-version 1.1; namespace 'urn:m'; prefix m;
+        container c { container d { leaf must-be { type string; mandatory true; }
+            leaf-list some { type string; min-elements 1; max-elements 2; } }
+            list l { key k; max-elements 1; leaf k { type string; } leaf v { type uint8; mandatory true; } } } }";
+    let schema = Schema::compile(text).unwrap();
+    let kinds = |tree: &Tree| -> Vec<FaultKind> {
+        schema.validate(tree).err().unwrap_or_default().iter().map(|fault| fault.kind).collect()
+    };
+    let mut tree = Tree::default();
+    assert_eq!(kinds(&tree), [FaultKind::MissingElement, FaultKind::TooFew]);
+    put(&schema, &mut tree, "/c/d/must-be", "x");
+    for value in ["a", "b"] {
+        put(&schema, &mut tree, &format!("/c/d/some[.={value}]"), value);
+    }
+    assert!(kinds(&tree).is_empty());
+    put(&schema, &mut tree, "/c/d/some[.=e]", "e");
+    let entry = Node::Container(Arc::default());
+    tree.apply(&schema, Op::Merge, &place(&schema, "/c/l[k=1]"), Some(&entry)).unwrap();
+    tree.apply(&schema, Op::Merge, &place(&schema, "/c/l[k=2]"), Some(&entry)).unwrap();
+    let found = kinds(&tree);
+    assert_eq!(
+        found,
+        [FaultKind::TooMany, FaultKind::TooMany, FaultKind::MissingElement, FaultKind::MissingElement]
+    );
+}
+
+#[test]
+fn paths_that_lead_nowhere_say_what_is_there() {
+    let schema = schema();
+    let fault = |path: &str| schema.place(&parse_path(path).unwrap()).unwrap_err();
+    let unknown = fault("/front/pol");
+    assert!(unknown.kind == FaultKind::UnknownElement && unknown.what.contains("pool"), "{unknown}");
+    assert_eq!(fault("/other:front").kind, FaultKind::UnknownNamespace);
+    assert_eq!(fault("/front/pool/admin-state").kind, FaultKind::MissingElement);
+    assert_eq!(fault("/front/pool[name=a b]").kind, FaultKind::InvalidValue);
+    assert_eq!(fault("/front/pool[nam=a]").kind, FaultKind::UnknownElement);
+    assert_eq!(fault("/front/log-level[a=b]").kind, FaultKind::BadElement);
+    assert_eq!(fault("/front/log-level/more").kind, FaultKind::UnknownElement);
+    for bad in ["/a//b", "/a[b", "/a[b=c", "/a[b=c]d", "/[a=b]"] {
+        assert!(parse_path(bad).is_err(), "{bad}");
+    }
+    assert!(parse_path(&"/a".repeat(MOST_STEPS + 1)).is_err());
+}
+
+#[test]
+fn wildcards_mean_all_that_fits() {
+    let schema = schema();
+    let mut tree = Tree::default();
+    for pool in ["a", "b", "c"] {
+        put(&schema, &mut tree, &format!("/front/pool[name={pool}]/admin-state"), "draining");
+    }
+    let count = |path: &str| {
+        let mut places = std::collections::BTreeSet::new();
+        for pattern in schema.patterns(&parse_path(path).unwrap()).unwrap() {
+            tree.select(&pattern, &mut |place, _| {
+                let _ = places.insert(schema.text(place));
+            });
+        }
+        places.len()
+    };
+    assert_eq!(count("/front/pool/admin-state"), 3);
+    assert_eq!(count("/front/pool[name=*]"), 3);
+    assert_eq!(count("/front/pool[name=b]/admin-state"), 1);
+    assert_eq!(count("/front/*[name=b]/admin-state"), 3); // Keys of a wildcard step are open.
+    assert_eq!(count("/front/.../admin-state"), 3);
+    assert_eq!(count("/front/pool/*"), 6);
+    assert!(schema.patterns(&parse_path("/front/nothing").unwrap()).is_err());
+}
+
+#[test]
+fn state_and_keys_cannot_be_edited() {
+    let schema = schema();
+    let mut tree = Tree::default();
+    let leaf = Node::Leaf("x".into());
+    let mut kind =
+        |path: &str, op| tree.apply(&schema, op, &place(&schema, path), Some(&leaf)).unwrap_err().kind;
+    assert_eq!(kind("/front/state/name", Op::Merge), FaultKind::ReadOnly);
+    assert_eq!(kind("/front/pool[name=a]/name", Op::Replace), FaultKind::BadElement);
+    assert_eq!(kind("/front/pool[name=a]/name", Op::Remove), FaultKind::BadElement);
+}
+
+#[test]
+fn json_that_does_not_fit_is_refused_with_its_kind() {
+    let schema = schema();
+    let kind = |value| from_json(&schema, None, false, &value).unwrap_err().kind;
+    assert_eq!(kind(json!([])), FaultKind::BadElement);
+    assert_eq!(kind(json!({"x:front": {}})), FaultKind::UnknownNamespace);
+    assert_eq!(kind(json!({"back": {}})), FaultKind::UnknownElement);
+    assert_eq!(kind(json!({"front": {"pool": [{}]}})), FaultKind::MissingElement);
+    assert_eq!(kind(json!({"front": {"pool": {"name": "a"}}})), FaultKind::BadElement);
+    assert_eq!(kind(json!({"front": {"pool": [{"name": "a"}, {"name": "a"}]}})), FaultKind::InvalidValue);
+    assert_eq!(kind(json!({"front": {"pool": [{"name": "a", "cell": ["1"]}]}})), FaultKind::InvalidValue);
+    assert_eq!(
+        kind(json!({"front": {"pool": [{"name": "a", "cell": [5_000_000_000u64]}]}})),
+        FaultKind::InvalidValue
+    );
+    assert_eq!(kind(json!({"front": {"log-level": "loud"}})), FaultKind::InvalidValue);
+}
--- /dev/null
+++ b/crates/store/src/recover.rs
@@ -0,0 +1,121 @@
+//! From a log back to the store, and from a store to the shortest log that says the same.
+
+use crate::log::{Damaged, HEADER, Record, Waits, change_of, frame, read, tree_of_json};
+use crate::store::{Bounds, Pending, Store, Version};
+use lemonusher_model::Schema;
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A store as its log has it.
+#[derive(Debug)]
+pub struct Recovered {
+    pub store: Store,
+    /// The log is good up to here; the rest is to be cut off.
+    pub whole: usize,
+    /// Records read.
+    pub records: usize,
+}
+
+/// Why a log can't be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Unfit {
+    Damaged(Damaged),
+    /// A record does not follow from those before it, or does not fit the model.
+    Record {
+        number: usize,
+        what: String,
+    },
+}
+
+impl fmt::Display for Unfit {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Unfit::Damaged(damaged) => write!(f, "{damaged}"),
+            Unfit::Record { number, what } => write!(f, "record {number}: {what}"),
+        }
+    }
+}
+
+/// Brings a store back. What waited to be confirmed is taken as lost: nobody may count on its session, and it
+/// falls due at once, whether or not its time had run out.
+pub fn recover(schema: Arc<Schema>, bounds: Bounds, bytes: &[u8]) -> Result<Recovered, Unfit> {
+    let log = read(bytes).map_err(Unfit::Damaged)?;
+    let empty = Store::new(schema.clone(), bounds);
+    let mut history: VecDeque<Arc<Version>> = empty.history().cloned().collect();
+    let (mut startup, mut pending) = (None, None);
+    for (number, record) in log.records.iter().enumerate() {
+        let unfit = |what: String| Unfit::Record { number, what };
+        let last = history[history.len() - 1].clone();
+        match record {
+            Record::Base { meta, tree } => {
+                if number > 0 {
+                    return Err(unfit("a whole version stands only at the beginning".to_owned()));
+                }
+                let tree = tree_of_json(&schema, tree).map_err(unfit)?;
+                let version = meta.version(tree, Vec::new());
+                let version = version.ok_or_else(|| unfit("its author or cause is not known".to_owned()))?;
+                history = VecDeque::from([Arc::new(version)]);
+            }
+            Record::Commit { meta, changes, pending: waits } => {
+                if meta.number != last.number + 1 {
+                    return Err(unfit(format!("version {} follows {}", meta.number, last.number)));
+                }
+                let changes: Result<Vec<_>, String> =
+                    changes.iter().map(|changed| change_of(&schema, changed)).collect();
+                let changes = changes.map_err(unfit)?;
+                let mut tree = last.tree.clone();
+                tree.follow(&schema, &changes).map_err(unfit)?;
+                let version = meta.version(tree, changes);
+                let version = version.ok_or_else(|| unfit("its author or cause is not known".to_owned()))?;
+                history.push_back(Arc::new(version));
+                pending = match waits {
+                    None => None,
+                    Some(waits) => {
+                        let revert = history.iter().find(|version| version.number == waits.revert);
+                        let revert = revert.ok_or_else(|| {
+                            unfit(format!("version {}, to go back to, is not there", waits.revert))
+                        })?;
+                        Some(Pending {
+                            session: meta.session,
+                            persist: waits.persist.clone(),
+                            revert: revert.clone(),
+                            until: Duration::ZERO,
+                            lost: true,
+                        })
+                    }
+                };
+                let kept = pending.as_ref().map_or(u64::MAX, |pending: &Pending| pending.revert.number);
+                while history.len() > bounds.history + 1 && history[0].number < kept {
+                    history.pop_front();
+                }
+            }
+            Record::Startup { tree } => {
+                let tree = tree.as_ref().map(|tree| tree_of_json(&schema, tree)).transpose();
+                startup = tree.map_err(unfit)?;
+            }
+        }
+    }
+    let store = Store::with(schema, bounds, history, startup, pending);
+    Ok(Recovered { store, whole: log.whole, records: log.records.len() })
+}
+
+/// A log that brings the same store back: the oldest version whole, then what followed.
+pub fn compact(store: &Store) -> Vec<u8> {
+    let schema = store.schema();
+    let mut bytes = HEADER.to_vec();
+    let last = store.running().number;
+    for (number, version) in store.history().enumerate() {
+        let waits = store.pending().filter(|_| version.number == last);
+        let waits = waits.map(|held| Waits { revert: held.revert.number, persist: held.persist.clone() });
+        bytes.extend(match number {
+            0 => frame(&Record::base(schema, version)),
+            _ => frame(&Record::of_version(schema, version, waits)),
+        });
+    }
+    if let Some(startup) = store.startup() {
+        bytes.extend(frame(&Record::startup(schema, Some(startup))));
+    }
+    bytes
+}
