gNMI door, the store on disk, and the rest of the command line

Change: crates/managed holds the store on a thread of its own, with a log that is synced before a commit is acknowledged, taken back when it can't be, and shortened by rename; every commit goes through prepare, log and switch of all parts. gNMI 0.10: Capabilities, Get, Set as one transaction with the commit-confirmed extension, Subscribe ONCE, POLL and STREAM. crates/watch says what a subscriber is due and what it has lost, crates/wishes reads a tree in the deployment's numbers. `lemonusher get, set, watch, commit, rollback, history`. Users with passwords, TLS by the file.

--- a/crates/cli/src/file.rs
+++ b/crates/cli/src/file.rs
@@ -66,6 +66,9 @@
     /// How old the counters that a manager reads may be, in milliseconds.
     #[serde(default = "Managed::freshness")]
     pub freshness_ms: Spanned<u64>,
+    /// Begins with what managers kept in the startup datastore, where there is one.
+    #[serde(default)]
+    pub from_startup: bool,
     pub gnmi: Option<Gnmi>,
     pub netconf: Option<Netconf>,
     #[serde(default)]
--- a/crates/cli/src/journal.rs
+++ b/crates/cli/src/journal.rs
@@ -6,8 +6,20 @@
 use std::io;
 use tracing_subscriber::filter::LevelFilter;
 use tracing_subscriber::layer::SubscriberExt;
-use tracing_subscriber::util::SubscriberInitExt;
-use tracing_subscriber::{Layer, fmt};
+use tracing_subscriber::{Layer, Registry, fmt, reload};
+
+/// Sets the level while the front runs.
+#[derive(Clone)]
+pub struct Dial(reload::Handle<LevelFilter, Registry>);
+
+impl Dial {
+    pub fn set(&self, level: &str) {
+        let Some(filter) = filter(level) else { return };
+        if self.0.modify(|held| *held = filter).is_ok() {
+            log::set_max_level(bridge_level(filter));
+        }
+    }
+}
 
 struct Bridge;
 
@@ -69,7 +81,7 @@
 }
 
 /// Starts the log, on standard error.
-pub fn start(level: Level, form: Form) {
+pub fn start(level: Level, form: Form) -> Dial {
     let filter = match level {
         Level::Error => LevelFilter::ERROR,
         Level::Warn => LevelFilter::WARN,
@@ -77,6 +89,7 @@
         Level::Debug => LevelFilter::DEBUG,
         Level::Trace => LevelFilter::TRACE,
     };
+    let (held, dial) = reload::Layer::new(filter);
     let written = match form {
         Form::Text => fmt::layer().with_writer(io::stderr).with_ansi(false).boxed(),
         Form::Json => fmt::layer().json().flatten_event(true).with_writer(io::stderr).boxed(),
@@ -85,10 +98,24 @@
     let ours = tracing_subscriber::filter::filter_fn(|metadata| {
         metadata.target().starts_with("lemonusher") || metadata.target() == "front"
     });
-    tracing_subscriber::registry().with(filter).with(written.with_filter(ours)).init();
+    // Not by `init`, which would put a bridge of its own in place of the one that knows our fields.
+    let subscriber = tracing_subscriber::registry().with(held).with(written.with_filter(ours));
+    let _ = tracing::subscriber::set_global_default(subscriber);
     if log::set_boxed_logger(Box::new(Bridge)).is_ok() {
         log::set_max_level(bridge_level(filter));
     }
+    Dial(dial)
+}
+
+fn filter(level: &str) -> Option<LevelFilter> {
+    Some(match level {
+        "error" => LevelFilter::ERROR,
+        "warn" => LevelFilter::WARN,
+        "info" => LevelFilter::INFO,
+        "debug" => LevelFilter::DEBUG,
+        "trace" => LevelFilter::TRACE,
+        _ => return None,
+    })
 }
 
 fn bridge_level(filter: LevelFilter) -> log::LevelFilter {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,11 +1,17 @@
 //! `lemonusher`: the front as operators run and manage it.
 
+mod client;
 mod file;
 mod journal;
 
-use clap::{Parser, Subcommand};
+use clap::{Parser, Subcommand, ValueEnum};
+use client::{Client, Reach, SetTerms};
+use lemonusher_managed::gnmi::proto::gnmi::get_request::DataType;
+use lemonusher_managed::{GnmiTerms, Names, NetconfTerms, Started, Terms, Tls, User, Users};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
 
 /// A gateway that keeps short and long queries apart on shared engines.
 ///
@@ -17,6 +23,8 @@
     /// Prints results and errors as JSON.
     #[arg(long, global = true)]
     json: bool,
+    #[command(flatten)]
+    reach: Reach,
     #[command(subcommand)]
     verb: Verb,
 }
@@ -30,6 +38,49 @@
     },
     /// Checks an operator's file, and the file that it tells the front by.
     Check { file: PathBuf },
+    /// Prints what stands at a path, such as /front/pool or /front/state/engine[id=0000002a].
+    Get {
+        path: String,
+        /// Config, state, or both.
+        #[arg(long, value_enum, default_value = "all")]
+        kind: Kind,
+    },
+    /// Sets a leaf, or a whole entry given as JSON, in one commit.
+    Set {
+        path: String,
+        value: Option<String>,
+        #[command(flatten)]
+        terms: SetTerms,
+    },
+    /// Prints what stands at a path, and then what changes there, until it is ended.
+    Watch {
+        path: String,
+        /// Samples at this period instead of telling changes.
+        #[arg(long, value_name = "MILLISECONDS")]
+        every: Option<u64>,
+        /// Ends after so many updates.
+        #[arg(long)]
+        count: Option<usize>,
+    },
+    /// Confirms a change that was set with --confirm-in.
+    Commit {
+        #[arg(default_value = "cli")]
+        id: String,
+        /// Takes it back instead.
+        #[arg(long)]
+        cancel: bool,
+    },
+    /// Puts an earlier version in force again.
+    Rollback { version: u64 },
+    /// Lists the commits that can be gone back to, the latest first.
+    History,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Kind {
+    All,
+    Config,
+    State,
 }
 
 /// Why a verb did not do what it is for.
@@ -55,6 +106,7 @@
     let done = match line.verb {
         Verb::Run { file } => run(&file),
         Verb::Check { file } => check(&file, line.json),
+        verb => speak(verb, &line.reach, line.json),
     };
     let Err(failure) = done else { return ExitCode::SUCCESS };
     let code = failure.code();
@@ -107,6 +159,100 @@
 
 fn run(path: &Path) -> Result<(), Failure> {
     let (file, told) = read(path)?;
-    journal::start(file.log.level, file.log.form);
-    lemonusher_front::serve(told, None).map_err(|unfit| Failure::Failed(unfit.to_string()))
+    let terms = file.managed.as_ref().map(terms_of).transpose()?;
+    let dial = journal::start(file.log.level, file.log.form);
+    let serve = |door| {
+        lemonusher_front::serve(told.clone(), door).map_err(|unfit| Failure::Failed(unfit.to_string()))
+    };
+    let Some(terms) = terms else { return serve(None) };
+    let names = lemonusher_front::names(&told).map_err(|unfit| Failure::File(vec![unfit.to_string()]))?;
+    let front = names.front;
+    let names =
+        Names { locations: names.locations, kinds: names.kinds, service_groups: names.service_groups };
+    let level = Arc::new(move |level: &str| dial.set(level));
+    let started = lemonusher_managed::start(terms, names, front, level, Vec::new())
+        .map_err(|unfit| Failure::Failed(unfit.to_string()))?;
+    let Started { requests, wanted, notices, gnmi, netconf, hub: _hub } = started;
+    if let Some(address) = gnmi {
+        tracing::info!("gNMI at {address}");
+    }
+    if let Some(address) = netconf {
+        tracing::info!("NETCONF at {address}");
+    }
+    serve(Some(lemonusher_front::Door { requests, wanted, notices }))
+}
+
+/// What the file says of managers, with the files read that it names.
+fn terms_of(managed: &file::Managed) -> Result<Terms, Failure> {
+    let read = |path: &PathBuf| {
+        std::fs::read(path).map_err(|error| Failure::File(vec![format!("{}: {error}", path.display())]))
+    };
+    let text = |path: &PathBuf| read(path).map(|bytes| String::from_utf8_lossy(&bytes).into_owned());
+    let mut users = Vec::new();
+    for user in &managed.users {
+        let password = user.password_file.as_ref().map(|path| text(path.get_ref())).transpose()?;
+        users.push(User {
+            name: user.name.get_ref().clone(),
+            may_write: user.may == file::May::Write,
+            ssh_key: user.ssh_key.as_ref().map(|key| key.get_ref().clone()),
+            password: password.map(|password| password.trim_end().to_owned()),
+        });
+    }
+    let gnmi = match &managed.gnmi {
+        None => None,
+        Some(gnmi) => {
+            let tls = match (&gnmi.certificate, &gnmi.key) {
+                (Some(certificate), Some(key)) => {
+                    Some(Tls { certificate: read(certificate.get_ref())?, key: read(key.get_ref())? })
+                }
+                _ => None,
+            };
+            Some(GnmiTerms { listen: *gnmi.listen.get_ref(), tls })
+        }
+    };
+    let netconf = match &managed.netconf {
+        None => None,
+        Some(netconf) => {
+            let host_key = netconf.host_key.as_ref().map(|path| text(path.get_ref())).transpose()?;
+            Some(NetconfTerms { listen: *netconf.listen.get_ref(), host_key })
+        }
+    };
+    Ok(Terms {
+        folder: managed.folder.as_ref().map(|folder| folder.get_ref().clone()),
+        history: *managed.history.get_ref(),
+        sessions: *managed.sessions.get_ref(),
+        subscriptions: *managed.subscriptions.get_ref(),
+        freshness: managed.freshness_span(),
+        from_startup: managed.from_startup,
+        gnmi,
+        netconf,
+        users: Users(users),
+    })
+}
+
+/// Speaks to a running front.
+fn speak(verb: Verb, reach: &Reach, json: bool) -> Result<(), Failure> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| Failure::Failed(error.to_string()))?;
+    runtime.block_on(async {
+        let mut client = Client::connect(reach, json).await?;
+        match verb {
+            Verb::Run { .. } | Verb::Check { .. } => Ok(()),
+            Verb::Get { path, kind } => {
+                let kind = match kind {
+                    Kind::All => DataType::All,
+                    Kind::Config => DataType::Config,
+                    Kind::State => DataType::State,
+                };
+                client.get(&path, kind).await
+            }
+            Verb::Set { path, value, terms } => client.set(&path, value.as_deref(), &terms).await,
+            Verb::Watch { path, every, count } => {
+                client.watch(&path, every.map(Duration::from_millis), count).await
+            }
+            Verb::Commit { id, cancel } => client.confirm(&id, cancel).await,
+            Verb::Rollback { version } => client.roll_back(version).await,
+            Verb::History => client.history().await,
+        }
+    })
 }
--- /dev/null
+++ b/crates/managed/src/gnmi/values.rs
@@ -0,0 +1,96 @@
+use super::proto::gnmi::typed_value::Value as Typed;
+use super::proto::gnmi::{Encoding, ScalarArray, TypedValue};
+use lemonusher_model::{Fault, FaultKind, Node, NodeId, Schema, Type, from_json, leaf_to_json, to_json};
+use lemonusher_watch::Value;
+
+/// A leaf or all members of a leaf-list, in this encoding.
+pub fn typed(schema: &Schema, id: NodeId, value: &Value, encoding: Encoding) -> TypedValue {
+    let value = match (encoding, value) {
+        (Encoding::Proto, Value::Leaf(text)) => scalar(schema, id, text),
+        (Encoding::Proto, Value::Members(members)) => {
+            let element = |text| TypedValue { value: Some(scalar(schema, id, text)) };
+            Typed::LeaflistVal(ScalarArray { element: members.iter().map(|text| element(text)).collect() })
+        }
+        (_, Value::Leaf(text)) => json(encoding, &leaf_to_json(schema, Some(id), text)),
+        (_, Value::Members(members)) => {
+            json(encoding, &members.iter().map(|text| leaf_to_json(schema, Some(id), text)).collect())
+        }
+    };
+    TypedValue { value: Some(value) }
+}
+
+/// What stands at a node, as JSON.
+pub fn whole(schema: &Schema, id: Option<NodeId>, node: &Node, encoding: Encoding) -> TypedValue {
+    TypedValue { value: Some(json(encoding, &to_json(schema, id, node))) }
+}
+
+fn json(encoding: Encoding, value: &serde_json::Value) -> Typed {
+    let bytes = value.to_string().into_bytes();
+    if encoding == Encoding::Json { Typed::JsonVal(bytes) } else { Typed::JsonIetfVal(bytes) }
+}
+
+fn scalar(schema: &Schema, id: NodeId, text: &str) -> Typed {
+    let ty = schema.node(id).leaf_type();
+    match ty {
+        Some(Type::Boolean) => Typed::BoolVal(text == "true"),
+        Some(ty) if ty.is_integer() => match (text.parse::<u64>(), text.parse::<i64>()) {
+            (Ok(value), _) => Typed::UintVal(value),
+            (_, Ok(value)) => Typed::IntVal(value),
+            _ => Typed::StringVal(text.to_owned()),
+        },
+        _ => Typed::StringVal(text.to_owned()),
+    }
+}
+
+/// What a value sets at a node: `entry` where the place names an entry of a list.
+pub fn untyped(
+    schema: &Schema,
+    id: Option<NodeId>,
+    entry: bool,
+    value: Option<&TypedValue>,
+) -> Result<Node, Fault> {
+    let fault = |what: &str| Fault::new(FaultKind::InvalidValue, None, what);
+    let value =
+        value.and_then(|value| value.value.as_ref()).ok_or_else(|| fault("an update has no value"))?;
+    match value {
+        Typed::JsonVal(bytes) | Typed::JsonIetfVal(bytes) => {
+            let json: serde_json::Value = serde_json::from_slice(bytes)
+                .map_err(|error| fault(&format!("the value is no JSON: {error}")))?;
+            from_json(schema, id, entry, &json)
+        }
+        Typed::LeaflistVal(list) => {
+            let members: Result<Vec<_>, Fault> =
+                list.element.iter().map(|one| text_of(one, &fault)).collect();
+            let members: Result<_, String> = members?
+                .iter()
+                .map(|text| match id {
+                    Some(id) => schema.canonical(id, text),
+                    None => Err("is no leaf-list".to_owned()),
+                })
+                .collect();
+            Ok(Node::LeafList(std::sync::Arc::new(members.map_err(|what| fault(&what))?)))
+        }
+        _ => {
+            let text = text_of(&TypedValue { value: Some(value.clone()) }, &fault)?;
+            let id = id.ok_or_else(|| fault("a scalar can't be set there"))?;
+            schema.canonical(id, &text).map(Node::Leaf).map_err(|what| fault(&what))
+        }
+    }
+}
+
+fn text_of(value: &TypedValue, fault: &impl Fn(&str) -> Fault) -> Result<String, Fault> {
+    Ok(match &value.value {
+        Some(Typed::StringVal(text) | Typed::AsciiVal(text)) => text.clone(),
+        Some(Typed::IntVal(value)) => value.to_string(),
+        Some(Typed::UintVal(value)) => value.to_string(),
+        Some(Typed::BoolVal(value)) => value.to_string(),
+        Some(Typed::JsonVal(bytes) | Typed::JsonIetfVal(bytes)) => {
+            match serde_json::from_slice::<serde_json::Value>(bytes) {
+                Ok(serde_json::Value::String(text)) => text,
+                Ok(other) => other.to_string(),
+                Err(_) => return Err(fault("the value is no JSON")),
+            }
+        }
+        _ => return Err(fault("a value of this kind is not taken")),
+    })
+}
--- a/crates/managed/src/lib.rs
+++ b/crates/managed/src/lib.rs
@@ -1,1 +1,19 @@
-//! .
+//! The managed front. A thread of its own holds the store and its log, moves the front's parts through each
+//! commit, and opens the doors for managers: gNMI and NETCONF. It reaches the owner by bounded queues alone and
+//! decides nothing that the pure packages decide.
+
+mod disk;
+pub mod gnmi;
+mod hub;
+pub mod netconf;
+mod parts;
+mod start;
+mod state;
+mod users;
+
+pub use disk::{Disk, DiskError};
+pub use hub::{Happened, Hub};
+pub use lemonusher_wishes::Names;
+pub use parts::{Part, PartFuture};
+pub use start::{GnmiTerms, NetconfTerms, Started, Terms, Tls, Unfit, start};
+pub use users::{Grant, User, Users};
--- /dev/null
+++ b/crates/managed/src/start.rs
@@ -0,0 +1,195 @@
+//! Brings the managed side up: state from its folder, then the doors, on a thread of their own.
+
+use crate::disk::{Disk, DiskError};
+use crate::hub::{Hub, unix_ms};
+use crate::parts::{LevelPart, OwnerPart, Part};
+use crate::users::Users;
+use crate::{gnmi, netconf};
+use lemonusher_membership::Wanted;
+use lemonusher_model::Schema;
+use lemonusher_routing::{Managed, Noticed};
+use lemonusher_store::{Bounds, Record, Store};
+use lemonusher_wishes::{Names, Reader};
+use std::fmt;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Requests and notices that may wait between the managed side and the owner.
+const QUEUE: usize = 256;
+const NOTICES: usize = 4096;
+
+/// What the operator's file says of the managed side.
+#[derive(Debug, Clone)]
+pub struct Terms {
+    /// Where commits last.
+    pub folder: Option<PathBuf>,
+    pub history: usize,
+    pub sessions: usize,
+    pub subscriptions: usize,
+    /// How old the state that a manager reads may be.
+    pub freshness: Duration,
+    /// The startup datastore, where there is one, is what a start begins with.
+    pub from_startup: bool,
+    pub gnmi: Option<GnmiTerms>,
+    pub netconf: Option<NetconfTerms>,
+    pub users: Users,
+}
+
+#[derive(Debug, Clone)]
+pub struct GnmiTerms {
+    pub listen: SocketAddr,
+    pub tls: Option<Tls>,
+}
+
+/// A certificate and its key, as PEM.
+#[derive(Debug, Clone)]
+pub struct Tls {
+    pub certificate: Vec<u8>,
+    pub key: Vec<u8>,
+}
+
+#[derive(Debug, Clone)]
+pub struct NetconfTerms {
+    pub listen: SocketAddr,
+    /// The host's private key, in OpenSSH's form.
+    pub host_key: Option<String>,
+}
+
+/// What the front needs of the managed side.
+pub struct Started {
+    pub requests: async_channel::Receiver<Managed>,
+    pub wanted: Arc<Wanted>,
+    pub notices: async_channel::Sender<Noticed>,
+    pub gnmi: Option<SocketAddr>,
+    pub netconf: Option<SocketAddr>,
+    pub hub: Arc<Hub>,
+}
+
+/// Why the managed side can't start.
+#[derive(Debug)]
+pub enum Unfit {
+    Model(String),
+    Disk(DiskError),
+    Log(io::Error),
+    Listen(SocketAddr, io::Error),
+    /// What was wanted when the front last ran names what the deployment no longer states.
+    Wishes(String),
+    Key(String),
+    Thread(io::Error),
+}
+
+impl fmt::Display for Unfit {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Unfit::Model(what) => write!(f, "the front's model: {what}"),
+            Unfit::Disk(error) => write!(f, "state: {error}"),
+            Unfit::Log(error) => write!(f, "the state's log: {error}"),
+            Unfit::Listen(address, error) => write!(f, "can't listen on {address}: {error}"),
+            Unfit::Wishes(what) => write!(f, "the state that was kept does not fit the deployment: {what}"),
+            Unfit::Key(what) => write!(f, "key: {what}"),
+            Unfit::Thread(error) => write!(f, "can't start a thread: {error}"),
+        }
+    }
+}
+
+/// Starts the managed side. `level` sets the log's level; `more` are parts that a commit moves besides the
+/// front's own.
+pub fn start(
+    terms: Terms,
+    names: Names,
+    front: String,
+    level: Arc<dyn Fn(&str) + Send + Sync>,
+    more: Vec<Arc<dyn Part>>,
+) -> Result<Started, Unfit> {
+    let schema = Arc::new(Schema::front().map_err(|wrong| Unfit::Model(wrong.to_string()))?);
+    let reader = Reader::new(&schema, names.clone())
+        .ok_or_else(|| Unfit::Model("it lacks pools or service groups".to_owned()))?;
+    let bounds = Bounds { history: terms.history, sessions: terms.sessions };
+    let (mut disk, mut store) = match &terms.folder {
+        None => (None, Store::new(schema.clone(), bounds)),
+        Some(folder) => {
+            let (disk, store) = Disk::open(folder, schema.clone(), bounds).map_err(Unfit::Disk)?;
+            (Some(disk), store)
+        }
+    };
+    // What nobody can confirm any more is taken back before anything is served.
+    let mut first = vec![store.due(Duration::ZERO, unix_ms())];
+    if terms.from_startup && first[0].is_none() {
+        first.push(store.begin_with_startup(unix_ms()));
+    }
+    for plan in first.into_iter().flatten() {
+        if let Some(disk) = &mut disk {
+            disk.append(&Record::commit(&schema, &plan)).map_err(Unfit::Log)?;
+        }
+        tracing::info!(commit = plan.version.number, "at the start: {}", plan.version.cause);
+        store.finish(plan);
+    }
+    let wishes = reader.read(&schema, &store.running().tree).map_err(|faults| {
+        Unfit::Wishes(faults.iter().map(|fault| fault.to_string()).collect::<Vec<_>>().join("; "))
+    })?;
+    if store.running().number > 0 {
+        level(&wishes.log_level);
+    }
+
+    let (requests, asked) = async_channel::bounded(QUEUE);
+    let (notices, noticed) = async_channel::bounded(NOTICES);
+    let mut parts: Vec<Arc<dyn Part>> = vec![
+        Arc::new(OwnerPart { schema: schema.clone(), reader: reader.clone(), requests: requests.clone() }),
+        Arc::new(LevelPart { schema: schema.clone(), reader, set: level, ready: Mutex::new(None) }),
+    ];
+    parts.extend(more);
+    let hub = Hub::new(schema, names, front, store, disk, parts, requests, terms.freshness);
+
+    let bind = |address: SocketAddr| {
+        let listener = TcpListener::bind(address).and_then(|listener| {
+            listener.set_nonblocking(true)?;
+            Ok(listener)
+        });
+        listener.map_err(|error| Unfit::Listen(address, error))
+    };
+    let gnmi_listener = terms.gnmi.as_ref().map(|gnmi| bind(gnmi.listen)).transpose()?;
+    let netconf_listener = terms.netconf.as_ref().map(|netconf| bind(netconf.listen)).transpose()?;
+    let address = |listener: &Option<TcpListener>| listener.as_ref().and_then(|l| l.local_addr().ok());
+    let started = Started {
+        requests: asked,
+        wanted: Arc::new(wishes.wanted),
+        notices,
+        gnmi: address(&gnmi_listener),
+        netconf: address(&netconf_listener),
+        hub: hub.clone(),
+    };
+    let netconf_keys = match &terms.netconf {
+        Some(netconf) => Some(netconf::host_key(netconf.host_key.as_deref()).map_err(Unfit::Key)?),
+        None => None,
+    };
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(Unfit::Thread)?;
+    let serve = async move {
+        tokio::spawn(hub.clone().tend());
+        tokio::spawn(hub.clone().hear(noticed));
+        if let (Some(listener), Some(gnmi)) = (gnmi_listener, terms.gnmi) {
+            let serve =
+                gnmi::serve(hub.clone(), listener, gnmi.tls, terms.users.clone(), terms.subscriptions);
+            tokio::spawn(async move {
+                if let Err(error) = serve.await {
+                    tracing::error!("gNMI ends: {error}");
+                }
+            });
+        }
+        if let (Some(listener), Some(key)) = (netconf_listener, netconf_keys) {
+            let serve = netconf::serve(hub.clone(), listener, key, terms.users, terms.subscriptions);
+            tokio::spawn(async move {
+                if let Err(error) = serve.await {
+                    tracing::error!("NETCONF ends: {error}");
+                }
+            });
+        }
+        std::future::pending::<()>().await
+    };
+    let run = move || runtime.block_on(serve);
+    std::thread::Builder::new().name("managed".to_owned()).spawn(run).map_err(Unfit::Thread)?;
+    Ok(started)
+}
--- /dev/null
+++ b/crates/managed/src/state.rs
@@ -0,0 +1,244 @@
+//! The front's state as a tree of the model.
+
+use lemonusher::EngineState;
+use lemonusher_membership::Admin;
+use lemonusher_model::{Fields, Node, NodeId, Pattern, Schema, Text, Tree};
+use lemonusher_routing::Snapshot;
+use lemonusher_store::{SessionId, Store};
+use lemonusher_wishes::Names;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Which parts of the state are wanted: the larger ones are made only then.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Needs {
+    /// Anything of the state.
+    pub state: bool,
+    pub snapshot: bool,
+    pub counters: bool,
+    pub engines: bool,
+    pub sessions: bool,
+    pub commits: bool,
+}
+
+impl Needs {
+    pub fn of(schema: &Schema, patterns: &[Pattern]) -> Needs {
+        let mut needs = Needs::default();
+        for pattern in patterns {
+            let name = |at: usize| pattern.get(at).map(|step| schema.node(step.node).name.as_str());
+            let (second, third) = (name(1), name(2));
+            if second.is_some_and(|name| name != "state") {
+                continue;
+            }
+            let all = third.is_none();
+            needs.state = true;
+            needs.counters |= all || third == Some("counter");
+            needs.engines |= all || third == Some("engine");
+            needs.sessions |= all || third == Some("session");
+            needs.commits |= all || third == Some("commit");
+            needs.snapshot |= !matches!(third, Some("session" | "commit" | "confirm" | "version" | "name"));
+        }
+        needs
+    }
+
+    /// Whether it changes without a commit or a notice.
+    pub fn drifts(self) -> bool {
+        self.snapshot || self.sessions
+    }
+}
+
+/// What the state is made of.
+pub struct Sources<'a> {
+    pub schema: &'a Schema,
+    pub names: &'a Names,
+    pub front: &'a str,
+    pub store: &'a Store,
+    pub lost: &'a BTreeMap<SessionId, u64>,
+    pub snapshot: Option<&'a Snapshot>,
+    pub up: Duration,
+    pub now: Duration,
+}
+
+struct Maker<'a> {
+    schema: &'a Schema,
+    holder: NodeId,
+    fields: Fields,
+}
+
+impl<'a> Maker<'a> {
+    fn new(schema: &'a Schema, holder: NodeId) -> Maker<'a> {
+        Maker { schema, holder, fields: Fields::new() }
+    }
+
+    /// A leaf that the model does not know is left out.
+    fn leaf(&mut self, name: &str, value: impl ToString) {
+        if let Some(id) = self.schema.child(Some(self.holder), name) {
+            self.fields.insert(id, Node::Leaf(value.to_string().into()));
+        }
+    }
+
+    fn list(&mut self, name: &str, entries: impl Iterator<Item = Fields>) {
+        let Some(id) = self.schema.child(Some(self.holder), name) else { return };
+        let keys = self.schema.keys(id);
+        let mut held: BTreeMap<Vec<Text>, Arc<Fields>> = BTreeMap::new();
+        for entry in entries {
+            let key = |id: &NodeId| match entry.get(id) {
+                Some(Node::Leaf(value)) => Some(value.clone()),
+                _ => None,
+            };
+            if let Some(keys) = keys.iter().map(key).collect() {
+                held.insert(keys, Arc::new(entry));
+            }
+        }
+        if !held.is_empty() {
+            self.fields.insert(id, Node::List(Arc::new(held)));
+        }
+    }
+
+    fn within(&self, name: &str) -> Option<Maker<'a>> {
+        Some(Maker::new(self.schema, self.schema.child(Some(self.holder), name)?))
+    }
+}
+
+/// What is in force, with the state beside it.
+pub fn view(sources: &Sources, config: bool, needs: Needs) -> Tree {
+    let schema = sources.schema;
+    let running = &sources.store.running().tree;
+    let Some(front) = schema.child(None, "front") else { return running.clone() };
+    let mut fields = match running.fields().get(&front) {
+        Some(Node::Container(fields)) if config => (**fields).clone(),
+        _ => Fields::new(),
+    };
+    if needs.state
+        && let Some(id) = schema.child(Some(front), "state")
+    {
+        fields.insert(id, Node::Container(Arc::new(state(sources, Maker::new(schema, id), needs))));
+    }
+    let mut top = Fields::new();
+    if !fields.is_empty() {
+        top.insert(front, Node::Container(Arc::new(fields)));
+    }
+    Tree::of(top)
+}
+
+fn state(sources: &Sources, mut state: Maker, needs: Needs) -> Fields {
+    let store = sources.store;
+    state.leaf("name", sources.front);
+    state.leaf("up", sources.up.as_millis());
+    state.leaf("version", store.running().number);
+    if let Some(bytes) = resident() {
+        state.leaf("resident-bytes", bytes);
+    }
+    if let Some(snapshot) = sources.snapshot {
+        state.leaf("open-batches", snapshot.batches);
+        state.leaf("open-dispatches", snapshot.dispatches);
+        state.leaf("statement-bytes", snapshot.statement_bytes);
+        state.leaf("deciding", snapshot.gateway.as_micros());
+        state.leaf("notices-lost", snapshot.unnoticed);
+        if needs.counters {
+            counters(&mut state, snapshot);
+        }
+        if needs.engines {
+            engines(&mut state, sources, snapshot);
+        }
+    }
+    if needs.sessions
+        && let Some(list) = state.within("session")
+    {
+        let entries = store.sessions().iter().map(|(id, session)| {
+            let mut entry = Maker::new(list.schema, list.holder);
+            entry.leaf("id", id);
+            entry.leaf("user", &session.user);
+            entry.leaf("protocol", session.protocol.name());
+            entry.leaf("lost-updates", sources.lost.get(id).copied().unwrap_or_default());
+            entry.fields
+        });
+        state.list("session", entries);
+    }
+    if needs.commits
+        && let Some(list) = state.within("commit")
+    {
+        let entries = store.history().map(|version| {
+            let mut entry = Maker::new(list.schema, list.holder);
+            entry.leaf("version", version.number);
+            entry.leaf("at", version.at);
+            entry.leaf("user", &version.author.user);
+            entry.leaf("protocol", version.author.protocol.name());
+            entry.leaf("cause", version.cause);
+            entry.leaf("changes", version.changes.len());
+            entry.fields
+        });
+        state.list("commit", entries);
+    }
+    if let (Some(pending), Some(mut confirm)) = (store.pending(), state.within("confirm")) {
+        confirm.leaf("version", store.running().number);
+        confirm.leaf("left", pending.until.saturating_sub(sources.now).as_millis());
+        state.fields.insert(confirm.holder, Node::Container(Arc::new(confirm.fields)));
+    }
+    state.fields
+}
+
+fn counters(state: &mut Maker, snapshot: &Snapshot) {
+    let Some(list) = state.within("counter") else { return };
+    let entries = snapshot.counts.iter().map(|(kind, group, count)| {
+        let mut entry = Maker::new(list.schema, list.holder);
+        let group = group.and_then(|group| snapshot.names.get(group));
+        entry.leaf("name", kind);
+        entry.leaf("service-group", group.map_or("-", |name| name));
+        entry.leaf("count", count);
+        entry.fields
+    });
+    state.list("counter", entries);
+}
+
+fn engines(state: &mut Maker, sources: &Sources, snapshot: &Snapshot) {
+    let Some(list) = state.within("engine") else { return };
+    let name = |names: &[String], number: u32| match names.get(number as usize) {
+        Some(name) => name.clone(),
+        None => number.to_string(),
+    };
+    let entries = snapshot.engines.iter().map(|engine| {
+        let held = &engine.seen.entry;
+        let mut entry = Maker::new(list.schema, list.holder);
+        entry.leaf("id", format!("{:08x}", held.engine));
+        if let Some(address) = engine.address {
+            entry.leaf("address", address);
+        }
+        entry.leaf("location", name(&sources.names.locations, held.location));
+        entry.leaf("kind", name(&sources.names.kinds, held.kind));
+        entry.leaf("cell", held.cell);
+        entry.leaf("listed", listed(held.state));
+        entry.leaf("admin-state", admin(engine.seen.admin));
+        entry.leaf("used", engine.seen.open());
+        entry.leaf("resting", engine.resting);
+        if !held.started.is_zero() {
+            entry.leaf("age", snapshot.now.saturating_sub(held.started).as_millis());
+        }
+        entry.leaf("out", engine.out);
+        entry.fields
+    });
+    state.list("engine", entries);
+}
+
+pub fn listed(state: EngineState) -> &'static str {
+    match state {
+        EngineState::Active => "active",
+        EngineState::Leaving => "leaving",
+        EngineState::Left => "left",
+    }
+}
+
+pub fn admin(admin: Admin) -> &'static str {
+    match admin {
+        Admin::Enabled => "enabled",
+        Admin::Draining => "draining",
+        Admin::Disabled => "disabled",
+    }
+}
+
+/// Memory of the whole process that is in use.
+fn resident() -> Option<u64> {
+    let statm = std::fs::read_to_string("/proc/self/statm").ok()?;
+    statm.split_whitespace().nth(1)?.parse::<u64>().ok().map(|pages| pages * 4096)
+}
--- a/crates/store/tests/store.rs
+++ b/crates/store/tests/store.rs
@@ -560,14 +560,13 @@
                         && plain.pending.is_none_or(|(by, ..)| by == session)
                         && merged.is_some();
                     prop_assert_eq!(planned.is_ok(), may, "{:?} {:?}", step, planned);
-                    match planned {
-                        Ok(Some(plan)) => if carry(&mut store, plan, fails) {
-                            let revert = plain.pending.map_or(plain.versions.len() - 1, |(_, to, _)| to);
-                            plain.takes(merged.unwrap());
-                            plain.candidate = None;
-                            plain.pending = confirmed.then_some((session, revert, now + 5));
-                        }
-                        _ => {}
+                    if let Ok(Some(plan)) = planned
+                        && carry(&mut store, plan, fails)
+                    {
+                        let revert = plain.pending.map_or(plain.versions.len() - 1, |(_, to, _)| to);
+                        plain.takes(merged.unwrap());
+                        plain.candidate = None;
+                        plain.pending = confirmed.then_some((session, revert, now + 5));
                     }
                 }
                 Step::Discard(session) => {
--- /dev/null
+++ b/crates/wishes/tests/wishes.rs
@@ -0,0 +1,66 @@
+use lemonusher::EngineEntry;
+use lemonusher_membership::Admin;
+use lemonusher_model::{FaultKind, Node, Op, Schema, Tree, parse_path};
+use lemonusher_wishes::{Names, Reader};
+
+fn tree(schema: &Schema, leaves: &[(&str, &str)]) -> Tree {
+    let mut tree = Tree::default();
+    for (path, value) in leaves {
+        let place = schema.place(&parse_path(path).unwrap()).unwrap();
+        tree.apply(schema, Op::Merge, &place, Some(&Node::Leaf((*value).into()))).unwrap();
+    }
+    tree
+}
+
+fn reader(schema: &Schema) -> Reader {
+    let list = |names: &[&str]| names.iter().map(|name| name.to_string()).collect();
+    let names = Names {
+        locations: list(&["east", "west"]),
+        kinds: list(&["std"]),
+        service_groups: list(&["look-up", "report"]),
+    };
+    Reader::new(schema, names).unwrap()
+}
+
+#[test]
+fn a_tree_is_read_in_the_deployments_numbers() {
+    let schema = Schema::front().unwrap();
+    let tree = tree(
+        &schema,
+        &[
+            ("/front/log-level", "debug"),
+            ("/front/service-group[name=report]/most-open", "7"),
+            ("/front/pool[name=a]/location[.=west]", "west"),
+            ("/front/pool[name=a]/admin-state", "draining"),
+            ("/front/pool[name=b]/engine[.=0000000a]", "0000000a"),
+            ("/front/pool[name=b]/serves[.=report]", "report"),
+        ],
+    );
+    let wishes = reader(&schema).read(&schema, &tree).unwrap();
+    assert_eq!(wishes.log_level, "debug");
+    let limit = wishes.wanted.limits()[1].unwrap();
+    assert_eq!((limit.most_open, limit.come_back.as_millis()), (7, 500));
+    assert!(wishes.wanted.limits()[0].is_none());
+    let entry = |engine, location| EngineEntry { engine, location, ..EngineEntry::default() };
+    assert_eq!(wishes.wanted.of(&entry(1, 1)).admin, Admin::Draining);
+    assert_eq!(wishes.wanted.of(&entry(1, 0)).barred, 0);
+    assert_eq!(wishes.wanted.of(&entry(10, 0)).barred, !2);
+    assert_eq!(wishes.wanted.of(&entry(10, 1)).barred, u64::MAX);
+}
+
+#[test]
+fn what_the_deployment_does_not_state_is_declined_with_its_place() {
+    let schema = Schema::front().unwrap();
+    let tree = tree(
+        &schema,
+        &[
+            ("/front/pool[name=a]/location[.=north]", "north"),
+            ("/front/service-group[name=x]/most-open", "7"),
+        ],
+    );
+    let faults = reader(&schema).read(&schema, &tree).unwrap_err();
+    let paths: Vec<&str> = faults.iter().filter_map(|fault| fault.path.as_deref()).collect();
+    assert_eq!(paths, ["/front/service-group[name=x]", "/front/pool[name=a]/location[.=north]"]);
+    assert!(faults.iter().all(|fault| fault.kind == FaultKind::InvalidValue));
+    assert!(faults[1].what.contains("east, west"));
+}
