--- /dev/null
+++ b/crates/cli/tests/managers/mod.rs
@@ -0,0 +1,297 @@
+//! Managers as tests play them: a front run by an operator's file, and clients of both protocols.
+
+use lemonusher_managed::gnmi::proto::gnmi::g_nmi_client::GNmiClient;
+use lemonusher_managed::gnmi::proto::gnmi::get_request::DataType;
+use lemonusher_managed::gnmi::proto::gnmi::subscribe_request::Request as Asked;
+use lemonusher_managed::gnmi::proto::gnmi::subscribe_response::Response as Said;
+use lemonusher_managed::gnmi::proto::gnmi::typed_value::Value as Typed;
+use lemonusher_managed::gnmi::proto::gnmi::*;
+use lemonusher_managed::gnmi::proto::gnmi_ext::commit::Action;
+use lemonusher_managed::gnmi::proto::gnmi_ext::extension::Ext;
+use lemonusher_managed::gnmi::proto::gnmi_ext::{Commit, CommitRequest, Extension};
+use lemonusher_netconf::{BASE, Element, Framer, Framing, frame, parse};
+use lemonusher_standin::{Commands, Front, LONG, Tallying, file, place, told};
+use russh::client;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::runtime::Runtime;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Status, Streaming};
+
+pub fn runtime() -> Runtime {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap()
+}
+
+/// Where a front keeps its state, taken away with the test.
+pub struct Folder(pub PathBuf);
+
+impl Folder {
+    pub fn new() -> Folder {
+        Folder(place("state"))
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A managed front with stand-ins round it.
+pub struct World {
+    pub front: Front,
+    pub gnmi: SocketAddr,
+    pub netconf: SocketAddr,
+    /// Kept so that the front's channel has somebody to speak to.
+    _commands: Commands,
+}
+
+/// Runs a front that knows these engines, with `more` in its file's `[managed]`.
+pub fn run(engines: &[&Tallying], folder: Option<&Path>, more: &str) -> World {
+    let commands = Commands::start();
+    let known: Vec<(u32, SocketAddr)> =
+        engines.iter().enumerate().map(|(number, engine)| (number as u32 + 1, engine.address)).collect();
+    run_told(&told(&known, commands.address), commands, folder, more)
+}
+
+pub fn run_told(told: &Value, commands: Commands, folder: Option<&Path>, more: &str) -> World {
+    let told = file("json", &told.to_string());
+    let folder = folder.map(|folder| format!("folder = {:?}", folder.display().to_string()));
+    let text = format!(
+        "[front]\ntold = {:?}\n[managed]\nfreshness_ms = 5\n{}\n{more}\n[managed.gnmi]\nlisten = \"127.0.0.1:0\"\n[managed.netconf]\nlisten = \"127.0.0.1:0\"\n",
+        told.display().to_string(),
+        folder.unwrap_or_default(),
+    );
+    let path = file("toml", &text);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_lemonusher"));
+    command.arg("run").arg(&path);
+    let front = Front::spawn(command, path);
+    let _ = std::fs::remove_file(told);
+    let address = |what: &str| front.said_at_start(what).and_then(|text| text.parse().ok()).expect(what);
+    World { gnmi: address("gNMI at"), netconf: address("NETCONF at"), front, _commands: commands }
+}
+
+// gNMI.
+
+#[derive(Clone)]
+pub struct Gnmi(pub GNmiClient<Channel>);
+
+pub fn steps(path: &str) -> Option<lemonusher_managed::gnmi::proto::gnmi::Path> {
+    let elem = lemonusher_model::parse_path(path).unwrap().into_iter();
+    let elem = elem.map(|step| PathElem { name: step.name, key: step.keys.into_iter().collect() }).collect();
+    Some(lemonusher_managed::gnmi::proto::gnmi::Path { elem, ..Default::default() })
+}
+
+pub fn update(path: &str, value: &Value) -> Update {
+    let val = Typed::JsonIetfVal(value.to_string().into_bytes());
+    Update { path: steps(path), val: Some(TypedValue { value: Some(val) }), duplicates: 0 }
+}
+
+/// Confirmed within so many seconds under an id, or an action upon it.
+pub fn within(id: &str, seconds: i64) -> Extension {
+    let rollback_duration = Some(prost_types::Duration { seconds, nanos: 0 });
+    action(id, Action::Commit(CommitRequest { rollback_duration }))
+}
+
+pub fn action(id: &str, action: Action) -> Extension {
+    Extension { ext: Some(Ext::Commit(Commit { id: id.to_owned(), action: Some(action) })) }
+}
+
+impl Gnmi {
+    pub async fn connect(address: SocketAddr) -> Gnmi {
+        let endpoint = Endpoint::from_shared(format!("http://{address}")).unwrap();
+        let client = GNmiClient::new(endpoint.connect().await.unwrap());
+        Gnmi(client.max_decoding_message_size(64 * 1024 * 1024))
+    }
+
+    pub async fn get(&mut self, path: &str, kind: DataType) -> Result<Value, Status> {
+        let request = GetRequest {
+            path: steps(path).into_iter().collect(),
+            r#type: kind.into(),
+            encoding: Encoding::JsonIetf.into(),
+            ..Default::default()
+        };
+        let answer = self.0.get(request).await?.into_inner();
+        let update = answer.notification.into_iter().flat_map(|n| n.update).next();
+        Ok(update.map(|update| value_of(&update)).unwrap_or_default())
+    }
+
+    pub async fn set(&mut self, updates: Vec<Update>) -> Result<(), Status> {
+        self.change(SetRequest { update: updates, ..Default::default() }).await
+    }
+
+    pub async fn change(&mut self, request: SetRequest) -> Result<(), Status> {
+        self.0.set(request).await.map(drop)
+    }
+
+    /// A stream of updates; the requests stay open until it is dropped.
+    pub async fn subscribe(
+        &mut self,
+        paths: &[&str],
+        mode: SubscriptionMode,
+        every_ms: u64,
+    ) -> Result<Updates, Status> {
+        let subscription = paths.iter().map(|path| Subscription {
+            path: steps(path),
+            mode: mode.into(),
+            sample_interval: every_ms * 1_000_000,
+            ..Default::default()
+        });
+        let list = SubscriptionList {
+            subscription: subscription.collect(),
+            encoding: Encoding::JsonIetf.into(),
+            ..Default::default()
+        };
+        let first = SubscribeRequest { request: Some(Asked::Subscribe(list)), extension: Vec::new() };
+        let (open, requests) = tokio::sync::mpsc::channel(1);
+        open.send(first).await.unwrap();
+        let stream = self.0.subscribe(ReceiverStream::new(requests)).await?.into_inner();
+        Ok(Updates { stream, _open: open })
+    }
+}
+
+/// A subscription that is open.
+pub struct Updates {
+    stream: Streaming<SubscribeResponse>,
+    _open: tokio::sync::mpsc::Sender<SubscribeRequest>,
+}
+
+pub fn value_of(update: &Update) -> Value {
+    match update.val.as_ref().and_then(|val| val.value.as_ref()) {
+        Some(Typed::JsonIetfVal(bytes)) => serde_json::from_slice(bytes).unwrap(),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The next updates of a stream: path's last name, keys and value; none for a sync.
+pub async fn updates(updates: &mut Updates) -> Option<Vec<Update>> {
+    let next = tokio::time::timeout(LONG, updates.stream.message()).await.expect("an update in time");
+    match next.unwrap().expect("the stream goes on").response {
+        Some(Said::Update(notification)) => Some(notification.update),
+        _ => None,
+    }
+}
+
+// NETCONF.
+
+struct Trusting;
+
+impl client::Handler for Trusting {
+    type Error = russh::Error;
+
+    async fn check_server_key(
+        &mut self,
+        _: &russh::keys::PublicKeyOrCertificate,
+    ) -> Result<bool, Self::Error> {
+        Ok(true)
+    }
+}
+
+pub struct Netconf {
+    stream: russh::ChannelStream<client::Msg>,
+    _handle: client::Handle<Trusting>,
+    framer: Framer,
+    framing: Framing,
+    pub id: u32,
+    next: u32,
+}
+
+impl Netconf {
+    pub async fn connect(address: SocketAddr) -> Netconf {
+        Netconf::with(address, &["urn:ietf:params:netconf:base:1.1"]).await
+    }
+
+    pub async fn with(address: SocketAddr, capabilities: &[&str]) -> Netconf {
+        let config = Arc::new(client::Config::default());
+        let mut handle = client::connect(config, address, Trusting).await.unwrap();
+        assert!(handle.authenticate_none("ops").await.unwrap().success());
+        let channel = handle.channel_open_session().await.unwrap();
+        channel.request_subsystem(true, "netconf").await.unwrap();
+        let mut netconf = Netconf {
+            stream: channel.into_stream(),
+            _handle: handle,
+            framer: Framer::new(64 * 1024 * 1024),
+            framing: Framing::Mark,
+            id: 0,
+            next: 1,
+        };
+        let capabilities: String =
+            capabilities.iter().map(|name| format!("<capability>{name}</capability>")).collect();
+        let hello = format!("<hello xmlns=\"{BASE}\"><capabilities>{capabilities}</capabilities></hello>");
+        netconf.send(&hello).await;
+        let theirs = parse(&netconf.receive().await.expect("a hello")).unwrap();
+        netconf.id = theirs.child("session-id").unwrap().value().parse().unwrap();
+        if capabilities.contains("base:1.1") {
+            netconf.framing = Framing::Chunks;
+            netconf.framer.set(Framing::Chunks);
+        }
+        netconf
+    }
+
+    pub async fn send(&mut self, text: &str) {
+        let bytes = frame(self.framing, text);
+        self.stream.write_all(&bytes).await.unwrap();
+        self.stream.flush().await.unwrap();
+    }
+
+    pub async fn send_raw(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).await.is_ok() && self.stream.flush().await.is_ok()
+    }
+
+    /// The next message, or none once the session has ended.
+    pub async fn receive(&mut self) -> Option<String> {
+        let mut bytes = vec![0; 16 * 1024];
+        loop {
+            if let Some(message) = self.framer.cut().unwrap() {
+                return Some(String::from_utf8(message).unwrap());
+            }
+            let read =
+                tokio::time::timeout(LONG, self.stream.read(&mut bytes)).await.expect("an answer in time");
+            match read {
+                Ok(0) | Err(_) => return None,
+                Ok(count) => self.framer.push(&bytes[..count]),
+            }
+        }
+    }
+
+    pub async fn ask(&mut self, operation: &str) -> Element {
+        self.next += 1;
+        let text = format!("<rpc xmlns=\"{BASE}\" message-id=\"{}\">{operation}</rpc>", self.next);
+        self.send(&text).await;
+        parse(&self.receive().await.expect("a reply")).unwrap()
+    }
+
+    pub async fn ok(&mut self, operation: &str) {
+        let reply = self.ask(operation).await;
+        assert!(reply.child("ok").is_some(), "{operation}: {reply:?}");
+    }
+
+    /// The tag of the error that an operation yields.
+    pub async fn error(&mut self, operation: &str) -> String {
+        let reply = self.ask(operation).await;
+        let error = reply.child("rpc-error").unwrap_or_else(|| panic!("{operation}: {reply:?}"));
+        error.child("error-tag").unwrap().value().to_owned()
+    }
+
+    /// The reply's bytes, but for what names the message.
+    pub async fn bytes(&mut self, operation: &str) -> String {
+        self.next += 1;
+        let text = format!("<rpc xmlns=\"{BASE}\" message-id=\"{}\">{operation}</rpc>", self.next);
+        self.send(&text).await;
+        let reply = self.receive().await.expect("a reply");
+        reply.split_once("<data").map(|(_, rest)| rest.to_owned()).expect(&reply)
+    }
+}
+
+pub const RUNNING: &str = "<get-config><source><running/></source></get-config>";
+
+pub fn edit(target: &str, front: &str) -> String {
+    format!(
+        "<edit-config xmlns:nc=\"{BASE}\"><target><{target}/></target><config><front xmlns=\"urn:lemonusher:front\">{front}</front></config></edit-config>"
+    )
+}
--- /dev/null
+++ b/crates/cli/tests/proof_managed.rs
@@ -0,0 +1,613 @@
+//! Proof of the managed state: the front as a process, engines that tally, managers of both protocols. Each claim
+//! prints a line `proof: NAME figure`.
+
+mod managers;
+
+use lemonusher_managed::gnmi::proto::gnmi::SetRequest;
+use lemonusher_managed::gnmi::proto::gnmi::SubscriptionMode;
+use lemonusher_managed::gnmi::proto::gnmi::get_request::DataType;
+use lemonusher_managed::gnmi::proto::gnmi_ext::commit::Action;
+use lemonusher_managed::gnmi::proto::gnmi_ext::{CommitCancel, CommitConfirm};
+use lemonusher_model::{Node, Schema, from_json, parse_path};
+use lemonusher_netconf::{parse, tree_of};
+use lemonusher_standin::{Answers, Commands, LONG, Tallying, told};
+use managers::*;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+use tonic::Code;
+
+const POOL: &str = "/front/pool[name=a]";
+
+fn hits() -> Tallying {
+    Tallying::start(|_| Answers::Hit)
+}
+
+/// The config that is in force, by both protocols: NETCONF's bytes and gNMI's JSON.
+async fn config(world: &World) -> (String, Value) {
+    let mut netconf = Netconf::connect(world.netconf).await;
+    let bytes = netconf.bytes(RUNNING).await;
+    let json = Gnmi::connect(world.gnmi).await.get("/", DataType::Config).await.unwrap();
+    (bytes, json)
+}
+
+#[test]
+fn a_failed_change_leaves_the_old_state_byte_for_byte() {
+    let engine = hits();
+    let world = run(&[&engine], None, "");
+    runtime().block_on(async {
+        let mut gnmi = Gnmi::connect(world.gnmi).await;
+        let first =
+            json!({"name": "a", "location": ["east"], "admin-state": "draining", "drained-for": "a disk"});
+        gnmi.set(vec![update(POOL, &first)]).await.unwrap();
+        let old = config(&world).await;
+        let mut watcher = Netconf::connect(world.netconf).await;
+        let subscribe = "<create-subscription xmlns=\"urn:ietf:params:xml:ns:netconf:notification:1.0\"/>";
+        watcher.ok(subscribe).await;
+
+        let good = edit("candidate", "<pool><name>a</name><cell>4</cell></pool>");
+        let unknown = edit("candidate", "<pool><name>a</name><location>north</location></pool>");
+        let confirmed = "<commit><confirmed/><confirm-timeout>600</confirm-timeout></commit>";
+        let lock = "<lock><target><candidate/></target></lock>";
+        let validate = "<validate><source><candidate/></source></validate>";
+        // Each list of steps is followed by the loss of the connection; `!` is to be refused.
+        let ways: Vec<Vec<String>> = vec![
+            vec![lock.into()],
+            vec![lock.into(), good.clone()],
+            vec![lock.into(), good.clone(), validate.into()],
+            vec![lock.into(), good.clone(), validate.into(), confirmed.into()],
+            vec![lock.into(), unknown.clone(), "!<commit/>".into()],
+            vec![format!(
+                "!{}",
+                edit(
+                    "running",
+                    "<pool><name>b</name></pool><pool><name>a</name><location>north</location></pool>"
+                )
+            )],
+            vec![format!("!{}", edit("running", "<pool><name>b</name></pool><nothing/>"))],
+            vec![format!("!{}", edit("running", "<pool><name>b</name><serves>none</serves></pool>"))],
+        ];
+        let mut changes = 0;
+        for way in &ways {
+            let mut manager = Netconf::connect(world.netconf).await;
+            for step in way {
+                match step.strip_prefix('!') {
+                    Some(refused) => drop(manager.error(refused).await),
+                    None => manager.ok(step).await,
+                }
+                changes += 1;
+            }
+            drop(manager);
+            if way.iter().any(|step| step == confirmed) {
+                // What nobody can confirm goes back, and is told.
+                while !watcher.receive().await.unwrap().contains("rolled-back") {}
+            }
+            assert_eq!(config(&world).await, old, "{way:?}");
+            // Nothing is left locked or changed behind.
+            let mut next = Netconf::connect(world.netconf).await;
+            while next.ask(lock).await.child("ok").is_none() {}
+        }
+        // Half of a message, and a Set of which one part can't be.
+        let mut manager = Netconf::connect(world.netconf).await;
+        let whole = edit("running", "<log-level>debug</log-level>");
+        assert!(manager.send_raw(&whole.as_bytes()[..whole.len() / 2]).await);
+        drop(manager);
+        let set = vec![update("/front/log-level", &json!("debug")), update(POOL, &json!({"kind": ["none"]}))];
+        assert!(gnmi.set(set).await.is_err());
+        assert_eq!(config(&world).await, old);
+        println!("proof: failed changes {} ways, {changes} steps, old state byte for byte", ways.len() + 2);
+    });
+}
+
+#[test]
+fn both_protocols_read_the_same_state() {
+    let engines = [hits(), hits()];
+    let world = run(&[&engines[0], &engines[1]], None, "");
+    let mut client = world.front.client();
+    for id in 1..=50 {
+        client.ask(id, if id % 5 == 0 { "load" } else { "look-up" });
+        client.next().unwrap();
+    }
+    runtime().block_on(async {
+        let mut gnmi = Gnmi::connect(world.gnmi).await;
+        let pool = json!({"name": "a", "engine": ["00000002"], "admin-state": "disabled"});
+        gnmi.set(vec![update(POOL, &pool)]).await.unwrap();
+        let schema = Schema::front().unwrap();
+        let mut netconf = Netconf::connect(world.netconf).await;
+        let mut leaves = 0;
+        // Time and memory never stand still; all else is the same once no batch is open.
+        for path in ["/front/pool", "/front/state/counter", "/front/state/engine", "/front/state/commit"] {
+            let names: Vec<String> = parse_path(path).unwrap().into_iter().map(|step| step.name).collect();
+            let open: String = names[1..].iter().map(|name| format!("<{name}>")).collect();
+            let close: String = names[1..].iter().rev().map(|name| format!("</{name}>")).collect();
+            let filter = format!(
+                "<get><filter type=\"subtree\"><front xmlns=\"urn:lemonusher:front\">{open}{close}</front></filter></get>"
+            );
+            let reply = netconf.ask(&filter).await;
+            let mine = tree_of(&schema, reply.child("data").unwrap()).unwrap();
+            let last = names.last().unwrap().clone();
+            // A path to a list means each of its entries.
+            let all = gnmi.get("/", DataType::All).await.unwrap();
+            let node = names[1..].iter().fold(&all["lemonusher-front:front"], |at, name| &at[name]);
+            let mut nested = json!({ last: node });
+            for name in names[..names.len() - 1].iter().rev() {
+                nested = json!({ name: nested });
+            }
+            let Node::Container(fields) = from_json(&schema, None, false, &nested).unwrap() else { panic!() };
+            let theirs = lemonusher_model::Tree::of((*fields).clone());
+            if path.ends_with("engine") {
+                assert_eq!(without_age(&schema, &mine), without_age(&schema, &theirs));
+            } else {
+                assert_eq!(mine, theirs, "{path}");
+            }
+            assert!(mine.count() > 2, "{path}");
+            leaves += mine.count();
+        }
+        println!("proof: same state {leaves} leaves equal over NETCONF and gNMI");
+    });
+}
+
+fn without_age(schema: &Schema, tree: &lemonusher_model::Tree) -> BTreeMap<String, String> {
+    let mut leaves = BTreeMap::new();
+    tree.each(|place, value| {
+        let path = schema.text(place);
+        if !path.ends_with("/age") {
+            leaves.insert(path, value.to_string());
+        }
+    });
+    leaves
+}
+
+/// `taken look-up=12 load=3; probes 4` by kind and service group.
+fn counts(line: &str) -> BTreeMap<(String, String), u64> {
+    let (_, line) = line.split_once("counts: ").unwrap();
+    let (line, _) = line.split_once("; holds").unwrap();
+    let mut found = BTreeMap::new();
+    for part in line.split("; ") {
+        let words: Vec<&str> = part.split(' ').collect();
+        let named = words.iter().position(|word| word.contains('=')).unwrap_or(words.len() - 1);
+        for word in &words[named..] {
+            let (group, count) = word.split_once('=').unwrap_or(("-", word));
+            found.insert((words[..named].join(" "), group.to_owned()), count.parse().unwrap());
+        }
+    }
+    found
+}
+
+#[test]
+fn subscribed_counters_are_those_of_the_log() {
+    const BATCHES: u64 = 10_000;
+    const CLIENTS: u64 = 8;
+    let engines = [
+        Tallying::start(|n| match n {
+            n if n % 97 == 5 => Answers::Fault,
+            n if n % 211 == 7 => Answers::HangUp,
+            _ => Answers::Hit,
+        }),
+        Tallying::start(|n| if n % 53 == 3 { Answers::Shed } else { Answers::Hit }),
+        hits(),
+    ];
+    let world = run(&[&engines[0], &engines[1], &engines[2]], None, "");
+    let world = &world;
+    std::thread::scope(|scope| {
+        for _ in 0..CLIENTS {
+            scope.spawn(move || {
+                let mut client = world.front.client();
+                let (mut asked, mut open) = (0, 0);
+                while asked < BATCHES / CLIENTS || open > 0 {
+                    if asked < BATCHES / CLIENTS && open < 16 {
+                        client.ask(asked + 1, if asked % 10 == 0 { "load" } else { "look-up" });
+                        (asked, open) = (asked + 1, open + 1);
+                    } else {
+                        client.next().expect("one answer a batch");
+                        open -= 1;
+                    }
+                }
+            });
+        }
+    });
+    runtime().block_on(async {
+        let mut gnmi = Gnmi::connect(world.gnmi).await;
+        let mut stream =
+            gnmi.subscribe(&["/front/state/counter"], SubscriptionMode::Sample, 50).await.unwrap();
+        let counted = || {
+            world.front.signal("USR1");
+            counts(&world.front.logged("counts: "))
+        };
+        for _ in 0..100 {
+            let before = counted();
+            let mut sample = BTreeMap::new();
+            let mut samples = 0;
+            while samples < 3 {
+                let Some(updates) = updates(&mut stream).await else { continue };
+                samples += 1;
+                for update in updates {
+                    let elem = &update.path.as_ref().unwrap().elem;
+                    let (entry, leaf) = (&elem[elem.len() - 2], &elem[elem.len() - 1]);
+                    if leaf.name == "count" {
+                        let key = (entry.key["name"].clone(), entry.key["service-group"].clone());
+                        let count: u64 = value_of(&update).as_str().unwrap().parse().unwrap();
+                        sample.insert(key, count);
+                    }
+                }
+            }
+            // What stood still on both sides of the sample must be in it.
+            if before != counted() {
+                continue;
+            }
+            assert_eq!(sample, before);
+            let of = |kind: &str| -> u64 {
+                before.iter().filter(|((name, _), _)| name == kind).map(|(_, count)| count).sum()
+            };
+            assert_eq!(of("taken"), BATCHES);
+            assert_eq!(of("returned") + of("pushed back") + of("errored"), BATCHES);
+            let tallied: u64 = engines.iter().map(|engine| engine.tally().len() as u64).sum();
+            assert!(of("dispatched") >= tallied);
+            let failed = of("dispatch ended errored") + of("dispatch ended full") + of("dispatch ended reset");
+            assert!(of("returned") > BATCHES / 2, "{before:?}");
+            assert!(failed > 50, "{before:?}");
+            println!(
+                "proof: counters {} of {BATCHES} batches, {failed} failed dispatches, equal to the log's line",
+                sample.len()
+            );
+            return;
+        }
+        panic!("the counters never stood still");
+    });
+}
+
+struct Stops(Arc<AtomicBool>);
+
+impl Drop for Stops {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
+#[test]
+fn nothing_new_goes_to_a_drained_pool() {
+    const GRACE: Duration = Duration::from_secs(2); // As the stand-in's deployment states it.
+    let engines = [hits(), hits()];
+    let world = run(&[&engines[0], &engines[1]], None, "");
+    let stop = Arc::new(AtomicBool::new(false));
+    let asked = Arc::new(AtomicU64::new(0));
+    let (drained, opened, home) = std::thread::scope(|scope| {
+        for _ in 0..4 {
+            let (stop, asked, front) = (stop.clone(), asked.clone(), &world.front);
+            scope.spawn(move || {
+                let mut client = front.client();
+                for id in 1.. {
+                    if stop.load(Ordering::SeqCst) {
+                        return;
+                    }
+                    client.ask(id, "look-up");
+                    client.next().expect("an answer");
+                    asked.fetch_add(1, Ordering::SeqCst);
+                }
+            });
+        }
+        // Clients stop also where the test fails.
+        let _stops = Stops(stop.clone());
+        let wait_for = |engine: &Tallying, more: usize| {
+            let from = engine.tally().len();
+            let until = Instant::now() + LONG;
+            while engine.tally().len() < from + more {
+                assert!(Instant::now() < until, "no batch came");
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        };
+        runtime().block_on(async {
+            let mut gnmi = Gnmi::connect(world.gnmi).await;
+            // The one that the statements' tables call home.
+            let until = Instant::now() + LONG;
+            while engines.iter().all(|engine| engine.tally().len() < 20) {
+                assert!(Instant::now() < until, "no batch came");
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            let home = usize::from(engines[1].tally().len() >= 20);
+            let id = format!("{:08x}", home + 1);
+            let pool =
+                |state: &str| update(POOL, &json!({"name": "a", "engine": [id], "admin-state": state}));
+            gnmi.set(vec![pool("draining")]).await.unwrap();
+            let drained = Instant::now();
+            // Long past the grace, the other goes on.
+            while drained.elapsed() < GRACE + Duration::from_millis(500) {
+                wait_for(&engines[1 - home], 20);
+            }
+            let opened = Instant::now();
+            gnmi.set(vec![pool("enabled")]).await.unwrap();
+            wait_for(&engines[home], 20);
+            stop.store(true, Ordering::SeqCst);
+            (drained, opened, home)
+        })
+    });
+    let tally = engines[home].tally();
+    let late: Vec<Duration> = (tally.iter())
+        .filter(|(at, _)| *at > drained && *at < opened)
+        .map(|(at, _)| at.duration_since(drained))
+        .collect();
+    assert!(late.iter().all(|late| *late <= GRACE), "{late:?}");
+    let last = late.iter().max().copied().unwrap_or_default();
+    println!(
+        "proof: drained pool {} batches in all, {} after the commit, the last {last:?} after it (grace {GRACE:?})",
+        asked.load(Ordering::SeqCst),
+        late.len()
+    );
+}
+
+#[test]
+fn nothing_acknowledged_is_lost_in_two_hundred_kills() {
+    const KILLS: u32 = 200;
+    let folder = Folder::new();
+    let (mut acknowledged, mut in_flight_kept) = (0u64, 0);
+    let runtime = runtime();
+    let path = "/front/service-group[name=look-up]/most-open";
+    let mut chance = 0x9e37_79b9_7f4a_7c15u64;
+    for kill in 0..KILLS {
+        let mut world = run(&[], Some(&folder.0), "");
+        runtime.block_on(async {
+            let mut gnmi = Gnmi::connect(world.gnmi).await;
+            let held = match gnmi.get(path, DataType::Config).await {
+                Ok(value) => value.as_u64().unwrap(),
+                Err(status) if status.code() == Code::NotFound => 0,
+                Err(status) => panic!("{status}"),
+            };
+            assert!(held == acknowledged || held == acknowledged + 1, "kill {kill}: {held}, {acknowledged}");
+            in_flight_kept += u32::from(held > acknowledged);
+            acknowledged = held;
+            chance = chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(kill.into());
+            for _ in 0..(chance >> 60) % 3 {
+                gnmi.set(vec![update(path, &json!(acknowledged + 1))]).await.unwrap();
+                acknowledged += 1;
+            }
+            // One more is on its way when the process dies.
+            let mut other = gnmi.clone();
+            let next = acknowledged + 1;
+            let last = tokio::spawn(async move { other.set(vec![update(path, &json!(next))]).await });
+            tokio::time::sleep(Duration::from_micros((chance >> 40) % 3000)).await;
+            world.front.kill();
+            if last.await.unwrap().is_ok() {
+                acknowledged = next;
+            }
+        });
+    }
+    println!(
+        "proof: kills {KILLS}, {acknowledged} commits acknowledged, none lost, {in_flight_kept} in flight kept"
+    );
+}
+
+#[test]
+fn a_confirmed_commit_is_taken_back_when_its_time_runs_out_across_a_restart() {
+    let folder = Folder::new();
+    let runtime = runtime();
+    let mut world = run(&[], Some(&folder.0), "");
+    runtime.block_on(async {
+        let mut gnmi = Gnmi::connect(world.gnmi).await;
+        let set = SetRequest {
+            update: vec![update("/front/log-level", &json!("debug"))],
+            extension: vec![within("x", 1)],
+            ..SetRequest::default()
+        };
+        gnmi.change(set).await.unwrap();
+        assert_eq!(gnmi.get("/front/log-level", DataType::Config).await.unwrap(), json!("debug"));
+    });
+    world.front.kill();
+    let world = run(&[], Some(&folder.0), "");
+    runtime.block_on(async {
+        let mut gnmi = Gnmi::connect(world.gnmi).await;
+        assert_eq!(gnmi.get("/front/log-level", DataType::Config).await.unwrap(), json!("info"));
+        let commits = gnmi.get("/", DataType::State).await.unwrap();
+        let commits = &commits["lemonusher-front:front"]["state"]["commit"];
+        assert_eq!(commits[2]["cause"], json!("not confirmed, back to 0"));
+    });
+    println!("proof: confirmed commit 1 taken back at the next start");
+}
+
+#[test]
+fn two_managers_writing_at_once_never_tear_the_state() {
+    let world = run(&[], None, "");
+    runtime().block_on(async {
+        let mut gnmi = Gnmi::connect(world.gnmi).await;
+        let mut netconf = Netconf::connect(world.netconf).await;
+        let level = |level: &str| vec![update("/front/log-level", &json!(level))];
+
+        // A lock against a Set, and its owner's death.
+        netconf.ok("<lock><target><running/></target></lock>").await;
+        assert_eq!(gnmi.set(level("warn")).await.unwrap_err().code(), Code::Aborted);
+        drop(netconf);
+        let mut netconf = Netconf::connect(world.netconf).await;
+        while gnmi.set(level("warn")).await.is_err() {}
+
+        // A candidate against a Set: where they do not touch both hold, else the later is refused.
+        netconf.ok(&edit("candidate", "<pool><name>a</name><cell>4</cell></pool>")).await;
+        gnmi.set(level("info")).await.unwrap();
+        netconf.ok("<commit/>").await;
+        netconf.ok(&edit("candidate", "<log-level>error</log-level>")).await;
+        gnmi.set(level("warn")).await.unwrap();
+        assert_eq!(netconf.error("<commit/>").await, "operation-failed");
+        netconf.ok("<discard-changes/>").await;
+        let now = gnmi.get("/", DataType::Config).await.unwrap();
+        let wanted = json!({"log-level": "warn", "pool": [{"name": "a", "cell": [4]}]});
+        assert_eq!(now["lemonusher-front:front"], wanted);
+
+        // A commit of the other's that waits to be confirmed.
+        netconf.ok(&edit("candidate", "<log-level>error</log-level>")).await;
+        netconf.ok("<commit><confirmed/><persist>night</persist></commit>").await;
+        assert_eq!(gnmi.set(level("info")).await.unwrap_err().code(), Code::FailedPrecondition);
+        let act =
+            |id: &str, act: Action| SetRequest { extension: vec![action(id, act)], ..SetRequest::default() };
+        let wrong = gnmi.change(act("day", Action::Confirm(CommitConfirm {}))).await.unwrap_err();
+        assert_eq!(wrong.code(), Code::FailedPrecondition);
+        gnmi.change(act("night", Action::Cancel(CommitCancel {}))).await.unwrap();
+        assert_eq!(gnmi.get("/", DataType::Config).await.unwrap(), now);
+
+        // Many at once: each Set either holds whole or not at all.
+        let mut tasks = Vec::new();
+        for writer in 0..8u32 {
+            let mut gnmi = Gnmi::connect(world.gnmi).await;
+            tasks.push(tokio::spawn(async move {
+                let mut done = 0;
+                for turn in 0..20u32 {
+                    let cells = json!({"name": "w", "cell": [writer, 100 + writer, 200 + turn]});
+                    let replace = vec![update("/front/pool[name=w]", &cells)];
+                    let set = SetRequest { replace, ..SetRequest::default() };
+                    done += u32::from(gnmi.change(set).await.is_ok());
+                }
+                done
+            }));
+        }
+        let mut reads = 0;
+        while tasks.iter().any(|task| !task.is_finished()) {
+            let pool = gnmi.get("/front/pool[name=w]", DataType::Config).await;
+            if let Ok(pool) = pool {
+                let cells: Vec<u64> =
+                    pool["cell"].as_array().unwrap().iter().filter_map(Value::as_u64).collect();
+                let writer = cells.iter().find(|cell| **cell < 100).unwrap();
+                assert!(cells.len() == 3 && cells.contains(&(writer + 100)), "{cells:?}");
+                reads += 1;
+            }
+        }
+        let mut done = 0;
+        for task in tasks {
+            done += task.await.unwrap();
+        }
+        assert_eq!(done, 160);
+        println!("proof: two managers {done} commits of 8 writers, {reads} reads, none torn");
+    });
+}
+
+#[test]
+fn a_subscriber_that_stops_loses_updates_and_holds_nobody_up() {
+    let commands = Commands::start();
+    // Many engines that nobody listens at make each sample large.
+    let engine = hits();
+    let mut known = vec![(1, engine.address)];
+    known.extend((2..600).map(|id| (id, commands.address)));
+    let mut text = told(&known, commands.address);
+    for member in text["known"]["cmds"][0]["nodes"]["members"].as_array_mut().unwrap().iter_mut().skip(1) {
+        member["phase"] = json!("Terminating");
+    }
+    let world = run_told(&text, commands, None, "");
+    runtime().block_on(async {
+        let mut gnmi = Gnmi::connect(world.gnmi).await;
+        let mut stalled = Gnmi::connect(world.gnmi).await;
+        let mut stream = stalled.subscribe(&["/front/state"], SubscriptionMode::Sample, 20).await.unwrap();
+        let mut reading = Gnmi::connect(world.gnmi).await;
+        let mut fine =
+            reading.subscribe(&["/front/state/counter"], SubscriptionMode::Sample, 20).await.unwrap();
+        // It is read until it has lost something, by the front's own count; batches are answered all the while.
+        let mut client = world.front.client();
+        let (mut batches, mut lost) = (0, 0);
+        let until = Instant::now() + LONG;
+        while lost == 0 || batches < 40 {
+            assert!(Instant::now() < until, "{lost} lost, {batches} answered");
+            batches += 1;
+            client.ask(batches, "look-up");
+            client.returned(batches, b"x\ty\tz\n");
+            updates(&mut fine).await;
+            let state = gnmi.get("/", DataType::State).await.unwrap();
+            let sessions = &state["lemonusher-front:front"]["state"]["session"];
+            let each = sessions.as_array().unwrap().iter();
+            lost = each.filter_map(|s| s["lost-updates"].as_str()?.parse::<u64>().ok()).sum();
+        }
+        // Once it reads on, it is told.
+        let told = loop {
+            let Some(updates) = updates(&mut stream).await else { continue };
+            let leaf = |update: &lemonusher_managed::gnmi::proto::gnmi::Update| {
+                update.path.as_ref().unwrap().elem.last().unwrap().name == "lost-updates"
+                    && value_of(update) != json!("0")
+            };
+            if let Some(update) = updates.iter().find(|update| leaf(update)) {
+                break value_of(update);
+            }
+        };
+        println!("proof: stopped subscriber {lost} updates lost and counted, {told} told, {batches} batches answered meanwhile");
+    });
+}
+
+#[test]
+fn hostile_input_gets_errors_and_harms_nobody() {
+    let world = run(&[], None, "");
+    runtime().block_on(async {
+        let old = config(&world).await;
+        let mut noise = Vec::new();
+        let mut chance = 1u64;
+        while noise.len() < 1_000_000 {
+            chance = chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            noise.extend(chance.to_le_bytes());
+        }
+        let mut refused = 0;
+        for address in [world.gnmi, world.netconf] {
+            let mut wire = TcpStream::connect(address).unwrap();
+            refused += u32::from(wire.write_all(&noise).is_err() || wire.flush().is_ok());
+        }
+        // Noise within a session ends it.
+        let mut manager = Netconf::connect(world.netconf).await;
+        // No more than its window takes: nothing reads on once the session has ended.
+        if manager.send_raw(&noise[..100_000]).await {
+            while manager.receive().await.is_some() {}
+        }
+        refused += 1;
+        let mut manager = Netconf::connect(world.netconf).await;
+        let deep = format!("<get>{}", "<filter>".repeat(5000));
+        let laughs = "<!DOCTYPE a [<!ENTITY b \"lol\"><!ENTITY c \"&b;&b;&b;\">]><rpc>&c;</rpc>";
+        for text in [deep.as_str(), laughs, "<rpc/>", "", "\u{0}"] {
+            manager.send(if text.is_empty() { " " } else { text }).await;
+            let reply = parse(&manager.receive().await.unwrap()).unwrap();
+            assert!(reply.child("rpc-error").is_some(), "{text:.40}");
+            refused += 1;
+        }
+        for (operation, tag) in [
+            (edit("candidate", "<pool xmlns=\"urn:x\"><name>a</name></pool>"), "unknown-namespace"),
+            (edit("candidate", "<cloud/>"), "unknown-element"),
+            (edit("candidate", "<pool><name>a</name><cell>4294967296</cell></pool>"), "invalid-value"),
+            (edit("candidate", "<state><name>x</name></state>"), "invalid-value"),
+            (edit("candidate", "<pool/>"), "missing-element"),
+        ] {
+            assert_eq!(manager.error(&operation).await, tag, "{operation}");
+            refused += 1;
+        }
+        let mut gnmi = Gnmi::connect(world.gnmi).await;
+        for (path, value, code) in [
+            ("/front/nothing", json!(1), Code::NotFound),
+            ("/front/pool[name=a]/cell", json!([1e30]), Code::InvalidArgument),
+            ("/front/pool[name=a]/cell", json!([-1]), Code::InvalidArgument),
+            ("/front/pool[name=a b]", json!({}), Code::InvalidArgument),
+            ("/front/state/name", json!("x"), Code::InvalidArgument),
+            ("/front/log-level", json!({"a": {"b": []}}), Code::InvalidArgument),
+        ] {
+            let status = gnmi.set(vec![update(path, &value)]).await.unwrap_err();
+            assert_eq!(status.code(), code, "{path} {value}: {status}");
+            refused += 1;
+        }
+        // More sessions than there may be: those beyond are refused, the others go on.
+        let (mut held, mut beyond) = (Vec::new(), 0);
+        for _ in 0..1000 {
+            match gnmi.subscribe(&["/front/log-level"], SubscriptionMode::OnChange, 0).await {
+                Ok(stream) => held.push(stream),
+                Err(status) => {
+                    assert_eq!(status.code(), Code::ResourceExhausted);
+                    beyond += 1;
+                }
+            }
+            if held.len() % 50 == 49 {
+                gnmi = Gnmi::connect(world.gnmi).await;
+            }
+        }
+        assert!(held.len() >= 32 && beyond > 800, "{} held", held.len());
+        drop(held);
+        let silent: Vec<TcpStream> = (0..200).map(|_| TcpStream::connect(world.netconf).unwrap()).collect();
+        let mut gnmi = Gnmi::connect(world.gnmi).await;
+        while gnmi.set(vec![update("/front/log-level", &json!("info"))]).await.is_err() {}
+        gnmi.change(SetRequest { delete: steps("/front/log-level").into_iter().collect(), ..SetRequest::default() })
+            .await
+            .unwrap();
+        assert_eq!(config(&world).await, old);
+        drop(silent);
+        println!("proof: hostile input {refused} kinds refused, {beyond} sessions beyond the bound, state as before");
+    });
+}
--- a/crates/front/tests/sockets.rs
+++ b/crates/front/tests/sockets.rs
@@ -1,19 +1,18 @@
 //! Starts the built front and speaks to it over loopback.
 
-mod stand;
-
+use lemonusher_standin::*;
 use serde_json::{Value, json};
-use stand::*;
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
+const FRONT: &str = env!("CARGO_BIN_EXE_lemonusher-front");
 const PAUSE: Duration = Duration::from_millis(150);
 
 /// A front with one engine.
 fn one() -> (Front, Engine, Commands) {
     let (engine, commands) = (Engine::start(), Commands::start());
-    let front = Front::start(&told(&[(1, engine.address)], commands.address));
+    let front = Front::start(FRONT, &told(&[(1, engine.address)], commands.address));
     (front, engine, commands)
 }
 
@@ -21,7 +20,7 @@
 fn two() -> (Front, [(u32, Engine); 2], Commands) {
     let (engines, commands) = ([(1, Engine::start()), (2, Engine::start())], Commands::start());
     let known: Vec<(u32, SocketAddr)> = engines.iter().map(|(id, e)| (*id, e.address)).collect();
-    let front = Front::start(&told(&known, commands.address));
+    let front = Front::start(FRONT, &told(&known, commands.address));
     let mut client = front.client();
     client.ask(1, "look-up");
     let [a, b] = engines;
@@ -61,7 +60,7 @@
 #[test]
 fn what_cannot_be_sent_is_pushed_back_with_a_time_to_come_back() {
     let commands = Commands::start();
-    let front = Front::start(&told(&[], commands.address));
+    let front = Front::start(FRONT, &told(&[], commands.address));
     let mut client = front.client();
     client.ask(1, "look-up");
     let answer = client.next().unwrap();
@@ -114,7 +113,7 @@
     let (engine, commands) = (Engine::start(), Commands::start());
     // Whichever of the two the order puts first, one of these goes to the closed one first.
     for known in [[(1, closed), (2, engine.address)], [(1, engine.address), (2, closed)]] {
-        let front = Front::start(&told(&known, commands.address));
+        let front = Front::start(FRONT, &told(&known, commands.address));
         let mut client = front.client();
         client.ask(1, "load");
         engine.next("serve").answer("HIT", "fetches=1", b"a\tb\tc\n");
@@ -344,7 +343,7 @@
     let (engine, commands) = (Engine::start(), Commands::start());
     let mut told = told(&[(1, engine.address)], commands.address);
     told["settings"]["classes"][0]["aim_us"] = json!(20_000_000); // It is worth a further dispatch for long.
-    let front = Front::start(&told);
+    let front = Front::start(FRONT, &told);
     let mut client = front.client();
     client.ask(1, "look-up");
     let serve = engine.next("serve");
@@ -565,7 +564,7 @@
     let (engine, commands) = (Engine::start(), Commands::start());
     let mut told = told(&[(1, engine.address)], commands.address);
     told["limits"]["memory_mb"] = json!(32);
-    let front = Front::start(&told);
+    let front = Front::start(FRONT, &told);
     let mut good = front.client();
     good.ask(1, "look-up");
     let serve = engine.next("serve");
@@ -659,7 +658,7 @@
     let (engine, commands) = (Engine::start(), Commands::start());
     let mut told = told(&[(1, engine.address)], commands.address);
     told["limits"]["sockets"] = json!(96);
-    let front = Front::start(&told);
+    let front = Front::start(FRONT, &told);
     let mut busy = front.client();
     busy.ask(1, "look-up");
     let serve = engine.next("serve");
@@ -679,11 +678,11 @@
     let shaped = |shape: &dyn Fn(&mut Value)| {
         let mut told = good.clone();
         shape(&mut told);
-        unfit(Some(&told.to_string()))
+        unfit(FRONT, Some(&told.to_string()))
     };
     for ((code, text), names) in [
-        (unfit(None), "PROXY_CONFIG"),
-        (unfit(Some("{")), "can't use"),
+        (unfit(FRONT, None), "PROXY_CONFIG"),
+        (unfit(FRONT, Some("{")), "can't use"),
         (shaped(&|told| drop(told["settings"].as_object_mut().unwrap().remove("classes"))), "classes"),
         (shaped(&|told| told["seed"] = json!("none")), "seed"),
         (shaped(&|told| drop(told["known"].as_object_mut().unwrap().remove("cmds"))), "cmds"),
--- a/crates/managed/src/gnmi/paths.rs
+++ b/crates/managed/src/gnmi/paths.rs
@@ -3,7 +3,6 @@
 use tonic::Status;
 
 /// The steps of a path below a prefix.
-#[allow(clippy::result_large_err)]
 pub fn to_steps(schema: &Schema, prefix: Option<&Path>, path: Option<&Path>) -> Result<Vec<Step>, Status> {
     let parts = [prefix, path].into_iter().flatten();
     let mut steps = Vec::new();
--- a/crates/managed/src/gnmi/service.rs
+++ b/crates/managed/src/gnmi/service.rs
@@ -97,14 +97,12 @@
 }
 
 impl Service {
-    #[allow(clippy::result_large_err)]
     pub(super) fn grant(&self, metadata: &MetadataMap) -> Result<Grant, Status> {
         let text = |name| metadata.get(name).and_then(|value| value.to_str().ok());
         let grant = self.users.by_password(text("username"), text("password"));
         grant.ok_or_else(|| Status::unauthenticated("username and password are not known"))
     }
 
-    #[allow(clippy::result_large_err)]
     pub(super) fn patterns(
         &self,
         prefix: Option<&Path>,
@@ -115,7 +113,6 @@
     }
 }
 
-#[allow(clippy::result_large_err)]
 pub(super) fn encoding(number: i32) -> Result<Encoding, Status> {
     match Encoding::try_from(number) {
         Ok(known @ (Encoding::Json | Encoding::JsonIetf | Encoding::Proto)) => Ok(known),
@@ -135,7 +132,6 @@
     expect: Option<u64>,
 }
 
-#[allow(clippy::result_large_err)]
 fn asked(extensions: &[Extension]) -> Result<Asked, Status> {
     let mut asked = Asked::default();
     for extension in extensions {
@@ -154,7 +150,6 @@
 }
 
 /// The edits of a Set, in the order in which they take effect: delete, replace, update.
-#[allow(clippy::result_large_err)]
 fn edits(store: &Store, request: &SetRequest) -> Result<Vec<Edit>, Status> {
     let schema = store.schema();
     let prefix = request.prefix.as_ref();
--- a/crates/managed/src/gnmi/subscribe.rs
+++ b/crates/managed/src/gnmi/subscribe.rs
@@ -122,7 +122,6 @@
     Ok(Box::pin(ReceiverStream::new(answers)))
 }
 
-#[allow(clippy::result_large_err)]
 fn terms_of(schema: &Schema, asked: &Subscription, patterns: Vec<Pattern>) -> Result<Terms, Status> {
     let span = |ns: u64| Duration::from_nanos(ns);
     let every = match span(asked.sample_interval) {
--- a/crates/front/tests/stand/mod.rs
+++ b/crates/standin/src/lib.rs
@@ -1,15 +1,17 @@
-//! Stand-ins for all that a front speaks to, and the built front itself.
+//! Stand-ins for all that a front speaks to, on loopback, and built programs as tests run them. They panic where
+//! a test should fail.
 
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longer than anything takes, on however busy a machine.
 pub const LONG: Duration = Duration::from_secs(30);
@@ -33,7 +35,8 @@
     child: Child,
     file: PathBuf,
     pub address: SocketAddr,
-    log: Receiver<String>,
+    log: Mutex<Receiver<String>>,
+    before: Vec<String>,
 }
 
 pub fn settings() -> Value {
@@ -74,40 +77,69 @@
 }
 
 /// A front that is to fail at its start: its exit code, and what it wrote.
-pub fn unfit(told: Option<&str>) -> (Option<i32>, String) {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_lemonusher-front"));
+pub fn unfit(program: &str, told: Option<&str>) -> (Option<i32>, String) {
+    let mut command = Command::new(program);
     command.env_remove("PROXY_CONFIG");
     if let Some(text) = told {
-        command.env("PROXY_CONFIG", file(text));
+        command.env("PROXY_CONFIG", file("json", text));
     }
     let output = command.output().unwrap();
     (output.status.code(), String::from_utf8(output.stderr).unwrap())
 }
 
-fn file(text: &str) -> PathBuf {
+/// A place of a test's own below the folder for temporary files.
+pub fn place(name: &str) -> PathBuf {
     static NEXT: AtomicU32 = AtomicU32::new(0);
-    let name = format!("front-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    std::env::temp_dir().join(format!("lemonusher-{}-{number}-{name}", std::process::id()))
+}
+
+/// A file that holds this text.
+pub fn file(ending: &str, text: &str) -> PathBuf {
+    let path = place(&format!("file.{ending}"));
     std::fs::write(&path, text).unwrap();
     path
 }
 
 impl Front {
-    pub fn start(told: &Value) -> Front {
-        let file = file(&told.to_string());
-        let mut child = Command::new(env!("CARGO_BIN_EXE_lemonusher-front"))
-            .env("PROXY_CONFIG", &file)
-            .env("RUST_LOG", "info")
-            .stderr(Stdio::piped())
-            .spawn()
-            .unwrap();
+    pub fn start(program: &str, told: &Value) -> Front {
+        let file = file("json", &told.to_string());
+        let mut command = Command::new(program);
+        command.env("PROXY_CONFIG", &file).env("RUST_LOG", "info");
+        Front::spawn(command, file)
+    }
+
+    /// Waits until the front that the command starts listens.
+    pub fn spawn(mut command: Command, file: PathBuf) -> Front {
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let stderr = BufReader::new(child.stderr.take().unwrap());
         let (send, log) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(send.send(line))));
-        let first = log.recv_timeout(LONG).unwrap();
-        let address = first.split_once("listens on ").and_then(|(_, rest)| rest.split(',').next());
-        let address = address.and_then(|text| text.parse().ok()).expect(&first);
-        Front { child, file, address, log }
+        let mut before = Vec::new();
+        let address = loop {
+            let line: String = log.recv_timeout(LONG).unwrap_or_else(|_| panic!("no start: {before:?}"));
+            let address = line.split_once("listens on ").and_then(|(_, rest)| rest.split(',').next());
+            if let Some(address) = address.and_then(|text| text.parse().ok()) {
+                break address;
+            }
+            before.push(line);
+        };
+        Front { child, file, address, log: Mutex::new(log), before }
+    }
+
+    /// What the log said before the front listened, after this text.
+    pub fn said_at_start(&self, text: &str) -> Option<String> {
+        self.before.iter().find_map(|line| Some(line.split_once(text)?.1.trim().to_owned()))
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends it as a crash would.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
     }
 
     pub fn client(&self) -> Client {
@@ -128,7 +160,7 @@
     /// The next line of the log that holds this text.
     pub fn logged(&self, text: &str) -> String {
         loop {
-            let line = self.log.recv_timeout(LONG).expect(text);
+            let line = self.log.lock().unwrap().recv_timeout(LONG).expect(text);
             if line.contains(text) {
                 return line;
             }
@@ -142,8 +174,8 @@
 
 impl Drop for Front {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
+        let _ = std::fs::remove_file(&self.file);
     }
 }
 
@@ -179,6 +211,7 @@
     }
 
     /// The next answer; `None` once the front has closed the connection.
+    #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Option<Value> {
         let mut line = String::new();
         match self.lines.read_line(&mut line) {
@@ -342,3 +375,56 @@
     }
     frame
 }
+
+/// What a tallying engine does with a batch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answers {
+    Hit,
+    Fault,
+    Shed,
+    HangUp,
+}
+
+/// An engine that answers by itself and tallies what it was sent.
+pub struct Tallying {
+    pub address: SocketAddr,
+    tally: Arc<Mutex<Vec<(Instant, String)>>>,
+}
+
+impl Tallying {
+    /// `answers` is asked with the number of each batch, from zero.
+    pub fn start(answers: impl Fn(usize) -> Answers + Send + Sync + 'static) -> Tallying {
+        let engine = Engine::start();
+        let tally: Arc<Mutex<Vec<(Instant, String)>>> = Arc::default();
+        let (address, kept) = (engine.address, tally.clone());
+        thread::spawn(move || {
+            while let Ok(said) = engine.said.recv() {
+                if said.verb != "serve" {
+                    continue;
+                }
+                let number = {
+                    let mut kept = kept.lock().unwrap();
+                    kept.push((Instant::now(), said.id.clone()));
+                    kept.len() - 1
+                };
+                // The front may have gone: then nobody is told.
+                let message = match answers(number) {
+                    Answers::Hit => format!("{} HIT fetches=1,effort=1,high=1 6\r\nx\ty\tz\n\r\n", said.id),
+                    Answers::Fault => format!("{} FAULT - 0\r\n\r\n", said.id),
+                    Answers::Shed => format!("{} SHED - 0\r\n\r\n", said.id),
+                    Answers::HangUp => {
+                        let _ = said.wire.shutdown(Shutdown::Both);
+                        continue;
+                    }
+                };
+                let _ = (&said.wire).write_all(message.as_bytes());
+            }
+        });
+        Tallying { address, tally }
+    }
+
+    /// Every batch that was sent there, and when.
+    pub fn tally(&self) -> Vec<(Instant, String)> {
+        self.tally.lock().unwrap().clone()
+    }
+}
