External processor: other proxies consult on each request and dispatch by themselves

Change: crates/consult is the life of a consulted call without I/O: verdicts before the proxy's timeout or not at all, retries that only the module grants, signed tickets, what is in doubt. crates/processor is Envoy's ext_proc v3 door with health, on a thread of its own; the front serves proxies in the place of clients and engine connections, through the owner's one queue. [processor] in the operator's file. Engines count as cold after a start, as it is not known what proxies have out.

--- a/crates/cli/src/file.rs
+++ b/crates/cli/src/file.rs
@@ -17,6 +17,7 @@
     #[serde(default)]
     pub log: Log,
     pub managed: Option<Managed>,
+    pub processor: Option<Processor>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -142,6 +143,117 @@
     }
 }
 
+/// The external processor. With it the front serves proxies alone: no listener for clients, no connections to
+/// engines.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Processor {
+    pub listen: Spanned<SocketAddr>,
+    /// The proxies' message timeout, and what they do then.
+    #[serde(default = "Processor::message_timeout")]
+    pub message_timeout_ms: Spanned<u64>,
+    #[serde(default)]
+    pub fails: Fails,
+    /// How much longer in all the proxies may be asked to wait (their max_message_timeout).
+    #[serde(default)]
+    pub more_time_ms: u64,
+    #[serde(default = "Processor::retry_within")]
+    pub retry_within_ms: u64,
+    /// Shared by all processors of a deployment; without it tickets hold for one process.
+    pub key_file: Option<Spanned<PathBuf>>,
+    #[serde(default = "Processor::streams")]
+    pub streams: Spanned<usize>,
+    #[serde(default = "Processor::remembered")]
+    pub remembered: usize,
+    /// Engines count as cold at the start, as it is not known what proxies still have out there.
+    #[serde(default = "Processor::recovers")]
+    pub recovers: bool,
+    #[serde(default)]
+    pub headers: Headers,
+    /// Path prefixes that stand for a service group.
+    #[serde(default)]
+    pub paths: std::collections::BTreeMap<String, String>,
+    #[serde(default = "Processor::patience")]
+    pub patience_ms: u64,
+}
+
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Fails {
+    Open,
+    #[default]
+    Closed,
+}
+
+/// Names of headers, where they are not the usual ones.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Headers {
+    pub batch: Option<String>,
+    pub service_group: Option<String>,
+    pub table_group: Option<String>,
+    pub patience: Option<String>,
+    pub repeat: Option<String>,
+    pub attempt: Option<String>,
+    pub ticket: Option<String>,
+    pub engine: Option<String>,
+    pub time_limit: Option<String>,
+    pub outcome: Option<String>,
+}
+
+impl Processor {
+    fn message_timeout() -> Spanned<u64> {
+        Spanned::new(0..0, 200)
+    }
+
+    fn retry_within() -> u64 {
+        500
+    }
+
+    fn streams() -> Spanned<usize> {
+        Spanned::new(0..0, 10_000)
+    }
+
+    fn remembered() -> usize {
+        100_000
+    }
+
+    fn recovers() -> bool {
+        true
+    }
+
+    fn patience() -> u64 {
+        5000
+    }
+
+    /// The headers' names, the usual ones where none is given.
+    pub fn names(&self) -> lemonusher_processor::Names {
+        let mut names = lemonusher_processor::Names::default();
+        let held = &self.headers;
+        for (given, name) in [
+            (&held.batch, &mut names.batch),
+            (&held.service_group, &mut names.service_group),
+            (&held.table_group, &mut names.table_group),
+            (&held.patience, &mut names.patience),
+            (&held.repeat, &mut names.repeat),
+            (&held.attempt, &mut names.attempt),
+            (&held.ticket, &mut names.ticket),
+            (&held.engine, &mut names.engine),
+            (&held.time_limit, &mut names.time_limit),
+            (&held.outcome, &mut names.outcome),
+        ] {
+            if let Some(given) = given {
+                *name = given.to_ascii_lowercase();
+            }
+        }
+        // The longest prefix speaks first.
+        names.paths = self.paths.iter().map(|(prefix, group)| (prefix.clone(), group.clone())).collect();
+        names.paths.sort_by_key(|(prefix, _)| std::cmp::Reverse(prefix.len()));
+        names.usual_patience = Duration::from_millis(self.patience_ms.max(1));
+        names
+    }
+}
+
 /// What is wrong in a file, and where.
 #[derive(Debug, PartialEq, Eq)]
 pub struct Wrong {
@@ -184,6 +296,20 @@
     if let Some(managed) = &file.managed {
         check_managed(managed, &mut say);
     }
+    if let Some(processor) = &file.processor {
+        if !processor.listen.get_ref().ip().is_loopback() && processor.key_file.is_none() {
+            let what =
+                "beyond loopback a 'key_file' is needed, the same for all processors of the deployment";
+            say(processor.listen.span(), what.to_owned());
+        }
+        if !(5..=60_000).contains(processor.message_timeout_ms.get_ref()) {
+            let what = "'message_timeout_ms' goes from 5 to 60000, as the proxies have it";
+            say(processor.message_timeout_ms.span(), what.to_owned());
+        }
+        if !(1..=1_000_000).contains(processor.streams.get_ref()) {
+            say(processor.streams.span(), "'streams' goes from 1 to 1000000".to_owned());
+        }
+    }
     if found.is_empty() { Ok(file) } else { Err(found) }
 }
 
@@ -250,6 +376,9 @@
         }
     };
     rebase(&mut file.front.told);
+    if let Some(processor) = &mut file.processor {
+        rebase(&mut processor.key_file);
+    }
     let Some(managed) = &mut file.managed else { return };
     rebase(&mut managed.folder);
     if let Some(gnmi) = &mut managed.gnmi {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -159,27 +159,87 @@
 
 fn run(path: &Path) -> Result<(), Failure> {
     let (file, told) = read(path)?;
-    let terms = file.managed.as_ref().map(terms_of).transpose()?;
+    let names = lemonusher_front::names(&told).map_err(|unfit| Failure::File(vec![unfit.to_string()]))?;
+    let managed = file.managed.as_ref().map(terms_of).transpose()?;
+    let processor = file.processor.as_ref().map(|held| processor_of(held, &names)).transpose()?;
     let dial = journal::start(file.log.level, file.log.form);
-    let serve = |door| {
-        lemonusher_front::serve(told.clone(), door).map_err(|unfit| Failure::Failed(unfit.to_string()))
+    let failed = |what: String| Failure::Failed(what);
+    let mut _hub = None;
+    let door = match managed {
+        None => None,
+        Some(terms) => {
+            let front = names.front.clone();
+            let known = Names {
+                locations: names.locations.clone(),
+                kinds: names.kinds.clone(),
+                service_groups: names.service_groups.clone(),
+            };
+            let level = Arc::new(move |level: &str| dial.set(level));
+            let started = lemonusher_managed::start(terms, known, front, level, Vec::new())
+                .map_err(|unfit| failed(unfit.to_string()))?;
+            let Started { requests, wanted, notices, gnmi, netconf, hub } = started;
+            _hub = Some(hub);
+            if let Some(address) = gnmi {
+                tracing::info!("gNMI at {address}");
+            }
+            if let Some(address) = netconf {
+                tracing::info!("NETCONF at {address}");
+            }
+            Some(lemonusher_front::Door { requests, wanted, notices })
+        }
     };
-    let Some(terms) = terms else { return serve(None) };
-    let names = lemonusher_front::names(&told).map_err(|unfit| Failure::File(vec![unfit.to_string()]))?;
-    let front = names.front;
-    let names =
-        Names { locations: names.locations, kinds: names.kinds, service_groups: names.service_groups };
-    let level = Arc::new(move |level: &str| dial.set(level));
-    let started = lemonusher_managed::start(terms, names, front, level, Vec::new())
-        .map_err(|unfit| Failure::Failed(unfit.to_string()))?;
-    let Started { requests, wanted, notices, gnmi, netconf, hub: _hub } = started;
-    if let Some(address) = gnmi {
-        tracing::info!("gNMI at {address}");
-    }
-    if let Some(address) = netconf {
-        tracing::info!("NETCONF at {address}");
-    }
-    serve(Some(lemonusher_front::Door { requests, wanted, notices }))
+    let consulting = match processor {
+        None => None,
+        Some((terms, consult, recovers)) => {
+            let listen = terms.listen;
+            let started = lemonusher_processor::start(terms)
+                .map_err(|error| failed(format!("can't listen on {listen}: {error}")))?;
+            tracing::info!("external processor at {}", started.address);
+            Some(lemonusher_front::Consulting { terms: consult, heard: started.heard, recovers })
+        }
+    };
+    lemonusher_front::serve(told, door, consulting).map_err(|unfit| failed(unfit.to_string()))
+}
+
+/// What the file says of proxies that consult.
+fn processor_of(
+    held: &file::Processor,
+    names: &lemonusher_front::Names,
+) -> Result<(lemonusher_processor::Terms, lemonusher_consult::Terms, bool), Failure> {
+    let ms = |ms: u64| Duration::from_millis(ms);
+    let longest = names.terms.iter().map(|terms| terms.time_limit).max().unwrap_or_default();
+    let key = match &held.key_file {
+        Some(path) => {
+            let path = path.get_ref();
+            let bytes = std::fs::read(path)
+                .map_err(|error| Failure::File(vec![format!("{}: {error}", path.display())]))?;
+            lemonusher_consult::Key::new(bytes.trim_ascii())
+        }
+        None => lemonusher_consult::Key::new(&rand::random::<[u8; 32]>()),
+    };
+    let groups = names.service_groups.iter().zip(&names.terms).map(|(name, terms)| {
+        let most_patience = terms.time_limit * 2;
+        lemonusher_processor::Group { name: name.clone(), most_patience }
+    });
+    let door = lemonusher_processor::Terms {
+        listen: *held.listen.get_ref(),
+        names: held.names(),
+        groups: groups.collect(),
+        key,
+        ticket: longest * 2,
+        streams: *held.streams.get_ref(),
+    };
+    let consult = lemonusher_consult::Terms {
+        message_timeout: ms(*held.message_timeout_ms.get_ref()),
+        fails_open: held.fails == file::Fails::Open,
+        more_time: ms(held.more_time_ms),
+        retry_within: ms(held.retry_within_ms),
+        doubt: longest * 2,
+        effects: names.terms.iter().map(|terms| terms.effect).collect(),
+        most_calls: *held.streams.get_ref(),
+        most_remembered: held.remembered,
+    };
+    Ok((door, consult, held.recovers))
 }
 
 /// What the file says of managers, with the files read that it names.
--- /dev/null
+++ b/crates/cli/tests/proof_processor.rs
@@ -0,0 +1,269 @@
+//! Proof of the external processor: the program as a process, a stand-in proxy, engines that tally. Each claim
+//! prints a line `proof: NAME figure`.
+
+#[path = "proxies/mod.rs"]
+mod proxies;
+
+// One for one, in virtual time: the claim that verdicts are those of the gateway alone.
+#[path = "../../consult/tests/same_verdicts.rs"]
+mod same_verdicts;
+
+use envoy_types::pb::envoy::config::core::v3::HeaderValue;
+use envoy_types::pb::envoy::service::ext_proc::v3::processing_request::Request as Say;
+use envoy_types::pb::envoy::service::ext_proc::v3::processing_response::Response as Answer;
+use lemonusher_standin::LONG;
+use proxies::*;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::runtime::Runtime;
+
+fn runtime() -> Runtime {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap()
+}
+
+/// Sends so many requests at most at once, and gathers the answers by id.
+async fn drive(proxy: &Proxy, ids: std::ops::Range<u32>, at_once: u32) -> BTreeMap<String, Final> {
+    let mut tasks = Vec::new();
+    for worker in 0..at_once {
+        let (proxy, ids) = (proxy.clone(), ids.clone());
+        tasks.push(tokio::spawn(async move {
+            let mut answers = Vec::new();
+            for number in ids.skip(worker as usize).step_by(at_once as usize) {
+                let (id, group) = name(number);
+                answers.push((id.clone(), proxy.request(&id, group).await));
+            }
+            answers
+        }));
+    }
+    let mut all = BTreeMap::new();
+    for task in tasks {
+        for (id, answer) in task.await.unwrap() {
+            assert!(all.insert(id, answer).is_none());
+        }
+    }
+    all
+}
+
+/// A third of all is work that must never run twice.
+fn name(number: u32) -> (String, &'static str) {
+    if number % 3 == 0 { (format!("once-{number}"), "load") } else { (format!("often-{number}"), "look-up") }
+}
+
+/// How often each id ran, over all engines; none that must run once ran twice.
+fn tally(engines: &[&HttpEngine]) -> BTreeMap<String, u32> {
+    let mut all: BTreeMap<String, u32> = BTreeMap::new();
+    for engine in engines {
+        for (id, count) in engine.ran() {
+            *all.entry(id).or_default() += count;
+        }
+    }
+    let twice: Vec<_> = all.iter().filter(|(id, count)| id.starts_with("once") && **count > 1).collect();
+    assert!(twice.is_empty(), "{twice:?}");
+    all
+}
+
+#[test]
+fn every_request_gets_one_answer_and_nothing_that_must_run_once_runs_twice() {
+    const REQUESTS: u32 = 1500;
+    runtime().block_on(async {
+        let engines = [
+            HttpEngine::start(|n| match n {
+                n if n % 23 == 3 => Does::Fail,
+                n if n % 29 == 5 => Does::HangUp,
+                _ => Does::Serve,
+            })
+            .await,
+            HttpEngine::start(|n| if n % 11 == 4 { Does::Full } else { Does::Serve }).await,
+        ];
+        let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+        let processor = Processor::new(&addresses, "recovers = false\nmessage_timeout_ms = 1000");
+        let proxy = Proxy::new(&[processor.address], None);
+        let answers = drive(&proxy, 0..REQUESTS, 24).await;
+        assert_eq!(answers.len(), REQUESTS as usize);
+        let ran = tally(&[&engines[0], &engines[1]]);
+        let served = answers.values().filter(|answer| answer.status == 200).count();
+        // What was answered as served ran; what was pushed back did not, where it must not run twice.
+        for (id, answer) in &answers {
+            let count = ran.get(id).copied().unwrap_or_default();
+            assert!(answer.status != 200 || count > 0, "{id} {answer:?}");
+            if id.starts_with("once") && answer.outcome.as_deref() == Some("pushed-back") {
+                assert_eq!(count, 0, "{id} {answer:?}");
+            }
+        }
+        let again = answers.values().filter(|answer| answer.attempts > 1).count();
+        assert!(served > REQUESTS as usize * 2 / 3 && again > 20, "{served} served, {again} tried again");
+        println!("proof: one answer {REQUESTS} requests, {served} served, {again} tried again, none once-only twice");
+    });
+}
+
+#[test]
+fn a_processor_killed_twenty_times_and_then_down_leaves_no_request_without_its_answer() {
+    runtime().block_on(async {
+        for open in [false, true] {
+            let engines = [HttpEngine::start(|_| Does::Serve).await, HttpEngine::start(|_| Does::Serve).await];
+            let own = HttpEngine::start(|_| Does::Serve).await;
+            let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+            let fails = if open { "open" } else { "closed" };
+            let mut processor = Processor::new(&addresses, &format!("fails = \"{fails}\"\nmessage_timeout_ms = 1000"));
+            let proxy = Proxy::new(&[processor.address], open.then_some(own.address));
+            let load = {
+                let proxy = proxy.clone();
+                tokio::spawn(async move { drive(&proxy, 0..1200, 12).await })
+            };
+            for _ in 0..20 {
+                tokio::time::sleep(Duration::from_millis(40)).await;
+                processor.kill();
+                processor.start();
+            }
+            let answers = tokio::time::timeout(LONG * 2, load).await.expect("all are answered").unwrap();
+            assert_eq!(answers.len(), 1200);
+            // Down for good: each still gets one answer, of the proxy's own making.
+            processor.kill();
+            let down = drive(&proxy, 10_000..10_060, 12).await;
+            let wanted = if open { 200 } else { 504 };
+            assert!(down.values().all(|answer| answer.status == wanted), "{down:?}");
+            let ran = tally(&[&engines[0], &engines[1], &own]);
+            let served = answers.values().filter(|answer| answer.status == 200).count();
+            assert!(served > 100, "{served} served");
+            println!(
+                "proof: killed 20 times, failing {fails}: 1260 requests, each one answer, {served} served, {} ran, none once-only twice",
+                ran.len()
+            );
+        }
+    });
+}
+
+#[test]
+fn a_verdict_that_has_to_wait_comes_before_the_proxys_timeout_or_not_at_all() {
+    runtime().block_on(async {
+        // No engine is known: everything is held until it can wait no longer.
+        let processor = Processor::new(&[], "message_timeout_ms = 300");
+        let mut proxy = Proxy::new(&[processor.address], None);
+        proxy.message_timeout = Duration::from_millis(300);
+        let answers = drive(&proxy, 0..60, 30).await;
+        let pushed =
+            answers.values().filter(|answer| answer.outcome.as_deref() == Some("pushed-back")).count();
+        let late = proxy.late.load(Ordering::SeqCst);
+        // On a busy machine the proxy itself may run late now and then; the margin must hold for nearly all.
+        assert!(pushed as u64 + late >= 60 && late <= 6, "{pushed} pushed back, {late} late");
+        // Where the proxies allow it, more time is asked for first.
+        let patient = Processor::new(&[], "message_timeout_ms = 300\nmore_time_ms = 300");
+        let mut proxy = Proxy::new(&[patient.address], None);
+        proxy.message_timeout = Duration::from_millis(300);
+        let from = std::time::Instant::now();
+        let answer = proxy.request("often-1", "look-up").await;
+        assert_eq!(answer.status, 503);
+        assert!(from.elapsed() > Duration::from_millis(300), "{:?}", from.elapsed());
+        println!("proof: held verdicts {pushed} of 60 pushed back in time, {late} timed out at the proxy");
+    });
+}
+
+#[test]
+fn a_hostile_proxy_gets_errors_and_harms_nobody() {
+    runtime().block_on(async {
+        let engine = HttpEngine::start(|_| Does::Serve).await;
+        let processor = Processor::new(&[engine.address], "recovers = false\nstreams = 200");
+        let proxy = Proxy::new(&[processor.address], None);
+        let value = |key: &str, value: &str| HeaderValue {
+            key: key.into(),
+            raw_value: value.as_bytes().to_vec(),
+            ..Default::default()
+        };
+        let asked = |more: Vec<HeaderValue>| {
+            let mut list = vec![value("x-service-group", "load"), value("x-request-id", "once-x")];
+            list.extend(more);
+            say(Say::RequestHeaders(headers(list)))
+        };
+        let status = async |request| {
+            let (send, mut answers, _) = proxy.open(processor.address).await.unwrap();
+            send.send(request).await.unwrap();
+            match answers.message().await {
+                Ok(Some(answer)) => match answer.response {
+                    Some(Answer::ImmediateResponse(answer)) => answer.status.unwrap().code,
+                    Some(_) => 200,
+                    None => 0,
+                },
+                Ok(None) => -1,
+                Err(status) => -(status.code() as i32) - 100,
+            }
+        };
+        let mut refused = 0;
+        let thousands = (0..5000).map(|n| value(&format!("h{n}"), "v")).collect();
+        for (request, wanted) in [
+            (asked(thousands), 431),
+            (say(Say::RequestHeaders(headers(Vec::new()))), 400),
+            (asked(vec![value("x-service-group", "none")]), 200), // Of two, the first counts.
+            (say(Say::ResponseHeaders(headers(Vec::new()))), -103),
+            (say(Say::RequestBody(Default::default())), -103),
+        ] {
+            assert_eq!(status(request).await, wanted);
+            refused += 1;
+        }
+        // Tickets forged, changed, or made for another: work that must run once is not let out on their word.
+        for ticket in ["1.x.1.1.1", "1.b25jZS14.1.0.ffffffffffffffff.AAAAAAAAAAAAAAAAAAAAAA", ""] {
+            let request = say(Say::RequestHeaders(headers(vec![
+                value("x-service-group", "load"),
+                value("x-request-id", &format!("once-f{}", ticket.len())),
+                value("x-lemonusher-ticket", ticket),
+            ])));
+            assert_eq!(status(request).await, 502, "{ticket}");
+            refused += 1;
+        }
+        // Streams that say nothing, or never read: those beyond the bound are refused, and all are given back.
+        let mut held = Vec::new();
+        let mut beyond = 0;
+        for _ in 0..300 {
+            match proxy.open(processor.address).await {
+                Some(stream) => held.push(stream),
+                None => beyond += 1,
+            }
+        }
+        assert!(held.len() <= 200 && beyond >= 100, "{} held", held.len());
+        for (number, (send, ..)) in held.iter().enumerate() {
+            let list =
+                vec![value("x-service-group", "look-up"), value("x-request-id", &format!("often-n{number}"))];
+            let _ = send.send(say(Say::RequestHeaders(headers(list)))).await;
+        }
+        drop(held);
+        // One that asks again at once and for ever is answered each time, and others are served.
+        let until = std::time::Instant::now() + LONG;
+        loop {
+            let answer = proxy.request("often-last", "look-up").await;
+            if answer.status == 200 {
+                break;
+            }
+            assert!(std::time::Instant::now() < until, "{answer:?}");
+        }
+        println!(
+            "proof: hostile proxy {refused} kinds refused, {beyond} streams beyond the bound, others served"
+        );
+    });
+}
+
+#[test]
+fn three_processors_restarted_in_turn_serve_all_the_while() {
+    runtime().block_on(async {
+        let engines = [HttpEngine::start(|_| Does::Serve).await, HttpEngine::start(|_| Does::Serve).await];
+        let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+        let mut processors: Vec<Processor> =
+            (0..3).map(|_| Processor::new(&addresses, "message_timeout_ms = 1000")).collect();
+        // The same key lets each read the others' tickets.
+        let proxy = Proxy::new(&processors.iter().map(|p| p.address).collect::<Vec<_>>(), None);
+        let load = {
+            let proxy = proxy.clone();
+            tokio::spawn(async move { drive(&proxy, 0..900, 12).await })
+        };
+        for processor in &mut processors {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            processor.kill();
+            processor.start();
+        }
+        let answers = tokio::time::timeout(LONG * 2, load).await.expect("all are answered").unwrap();
+        let served = answers.values().filter(|answer| answer.status == 200).count();
+        tally(&[&engines[0], &engines[1]]);
+        assert!(answers.len() == 900 && served > 300, "{served}");
+        println!("proof: rolling restart of three, 900 requests, each one answer, {served} served, none once-only twice");
+    });
+}
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -5,4 +5,5 @@
 mod protocol;
 mod transport;
 
+pub use program::consulted::Consulting;
 pub use program::start::{Door, Names, Unfit, names, run, serve};
--- a/crates/front/src/program/channel.rs
+++ b/crates/front/src/program/channel.rs
@@ -127,7 +127,10 @@
                 State::Draining => EngineState::Leaving,
                 State::Gone => EngineState::Left,
             },
-            started: (member.started_ms > 0).then(|| Duration::from_millis(member.started_ms)),
+            // Option's order is the right one: no date is long ago.
+            started: (member.started_ms > 0)
+                .then(|| Duration::from_millis(member.started_ms))
+                .max(self.shared.cold_since),
         })
     }
 }
--- /dev/null
+++ b/crates/front/src/program/consulted.rs
@@ -0,0 +1,206 @@
+//! Proxies that dispatch by themselves, in the place of clients and of connections to engines: what they tell goes
+//! into the owner's queue, what the owner wants goes to them. The life of a call is `lemonusher-consult`'s.
+
+use super::shared::Shared;
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use futures_lite::FutureExt;
+use lemonusher::{BatchId, EngineId, EngineState, RosterKind};
+use lemonusher_consult::{Asked, Consult, Do, StreamId, Terms, Verdict};
+use lemonusher_processor::{FromProxy, Told};
+use lemonusher_routing::{Answer, Asker, Heard, Listed, Order, Taken};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// What `run` needs to serve proxies.
+pub struct Consulting {
+    pub terms: Terms,
+    pub heard: Receiver<FromProxy>,
+    /// A start after a crash: what proxies still have out is not known.
+    pub recovers: bool,
+}
+
+/// Takes the owner's answers, which come in the middle of its turn, for later.
+struct Answers {
+    batches: RefCell<BTreeMap<u64, BatchId>>,
+    given: RefCell<VecDeque<(BatchId, Answer)>>,
+    wake: Sender<()>,
+}
+
+impl Asker for Answers {
+    fn answer(&self, ticket: u64, answer: Answer) {
+        if let Some(batch) = self.batches.borrow_mut().remove(&ticket) {
+            self.given.borrow_mut().push_back((batch, answer));
+            let _ = self.wake.try_send(());
+        }
+    }
+}
+
+enum Next {
+    Order(Order),
+    Heard(FromProxy),
+    Answered,
+    Due,
+    Over,
+}
+
+struct Bridge {
+    shared: Rc<Shared>,
+    consult: Consult,
+    answers: Rc<Answers>,
+    tickets: BTreeMap<BatchId, u64>,
+    next: u64,
+    lines: BTreeMap<StreamId, (Sender<Told>, Duration)>,
+    addresses: BTreeMap<EngineId, SocketAddr>,
+    began: Instant,
+}
+
+/// Serves for as long as the front runs.
+pub async fn run(shared: Rc<Shared>, orders: Receiver<Order>, consulting: Consulting) {
+    let (wake, woken) = async_channel::bounded(1);
+    let answers = Rc::new(Answers { batches: RefCell::default(), given: RefCell::default(), wake });
+    let mut bridge = Bridge {
+        shared,
+        consult: Consult::new(consulting.terms),
+        answers,
+        tickets: BTreeMap::new(),
+        next: 0,
+        lines: BTreeMap::new(),
+        addresses: BTreeMap::new(),
+        began: Instant::now(),
+    };
+    loop {
+        let due = async {
+            match bridge.consult.due_at() {
+                Some(at) => Timer::at(bridge.began + at).await,
+                None => std::future::pending().await,
+            };
+            Next::Due
+        };
+        // What the owner says goes first: a verdict must not wait behind questions.
+        let order = async { orders.recv().await.map_or(Next::Over, Next::Order) };
+        let answered = async { woken.recv().await.map_or(Next::Over, |()| Next::Answered) };
+        let heard = async { consulting.heard.recv().await.map_or(Next::Over, Next::Heard) };
+        let next = order.or(answered).or(due).or(heard).await;
+        let now = bridge.began.elapsed();
+        let done = match next {
+            Next::Over => return,
+            Next::Due => bridge.consult.turn(now),
+            Next::Answered => bridge.answered(now),
+            Next::Order(order) => bridge.ordered(order),
+            Next::Heard(heard) => bridge.heard(now, heard),
+        };
+        bridge.carry_out(done).await;
+    }
+}
+
+impl Bridge {
+    fn answered(&mut self, now: Duration) -> Vec<Do> {
+        let given: Vec<(BatchId, Answer)> = self.answers.given.borrow_mut().drain(..).collect();
+        let mut done = Vec::new();
+        for (batch, answer) in given {
+            self.tickets.remove(&batch);
+            done.extend(match answer {
+                Answer::Returned(_) => Vec::new(), // The proxy has passed it on already.
+                Answer::PushedBack(wait) => self.consult.answer(now, &batch, true, wait),
+                Answer::Errored => self.consult.answer(now, &batch, false, None),
+            });
+        }
+        done
+    }
+
+    fn ordered(&mut self, order: Order) -> Vec<Do> {
+        match order {
+            Order::Dispatch { token, engine, batch, patience, .. } => {
+                self.consult.dispatch(&batch, token, engine, patience)
+            }
+            Order::Roster(kind, listed) => {
+                self.list(kind, listed);
+                Vec::new()
+            }
+            // Nothing is probed, and what is out can't be called back.
+            Order::Probe { .. } | Order::Weigh { .. } | Order::Cancel(_) => Vec::new(),
+        }
+    }
+
+    fn list(&mut self, kind: RosterKind, listed: Vec<Listed>) {
+        if kind != RosterKind::Changes {
+            self.addresses.clear();
+        }
+        for one in listed {
+            match one.state {
+                EngineState::Left => self.addresses.remove(&one.engine),
+                _ => self.addresses.insert(one.engine, one.address),
+            };
+        }
+    }
+
+    fn heard(&mut self, now: Duration, heard: FromProxy) -> Vec<Do> {
+        match heard {
+            FromProxy::Asked { asked, line, received } => {
+                self.lines.insert(asked.stream, (line, received.elapsed()));
+                self.consult.asked(now, asked)
+            }
+            FromProxy::Answered { stream, outcome } => self.consult.answered(stream, outcome),
+            FromProxy::Ended { stream, whole } => {
+                self.lines.remove(&stream);
+                self.consult.ended(now, stream, whole)
+            }
+            FromProxy::Measured(trip) => {
+                self.consult.measured(trip);
+                Vec::new()
+            }
+        }
+    }
+
+    async fn carry_out(&mut self, done: Vec<Do>) {
+        for act in done {
+            match act {
+                Do::Take(asked) => self.take(asked).await,
+                Do::Leave(batch) => {
+                    if let Some(ticket) = self.tickets.remove(&batch) {
+                        self.answers.batches.borrow_mut().remove(&ticket);
+                        let left = Heard::Left { asker: self.answers.clone(), ticket, batch };
+                        let _ = self.shared.queue.send(left).await;
+                    }
+                }
+                Do::End { token, outcome } => {
+                    let _ = self.shared.queue.send(Heard::ended(token, outcome)).await;
+                }
+                Do::Tell { stream, verdict } => self.tell(stream, verdict),
+            }
+        }
+    }
+
+    async fn take(&mut self, asked: Asked) {
+        self.next += 1;
+        let ticket = self.next;
+        // Seldom, a batch of this id is still on its way out of the owner's tables: the new one has its ticket.
+        self.tickets.insert(asked.batch.clone(), ticket);
+        self.answers.batches.borrow_mut().insert(ticket, asked.batch.clone());
+        let taken = Taken {
+            asker: self.answers.clone(),
+            ticket,
+            batch: asked.batch,
+            service_group: asked.service_group,
+            table_group: asked.table_group,
+            patience: asked.patience,
+            repeat: asked.repeat,
+            statement: Rc::from([]),
+        };
+        let _ = self.shared.queue.send(Heard::Taken(taken)).await;
+    }
+
+    fn tell(&mut self, stream: StreamId, verdict: Verdict) {
+        let Some((line, waited)) = self.lines.get(&stream) else { return };
+        let address = match &verdict {
+            Verdict::Go { engine, .. } => self.addresses.get(engine).copied(),
+            _ => None,
+        };
+        // A line holds more than one call is ever told; one whose proxy has gone is closed.
+        let _ = line.try_send(Told { verdict, address, waited: *waited, at: Instant::now() });
+    }
+}
--- a/crates/front/src/program/mod.rs
+++ b/crates/front/src/program/mod.rs
@@ -2,6 +2,7 @@
 
 mod channel;
 mod clients;
+pub mod consulted;
 mod engines;
 mod shared;
 pub mod start;
--- a/crates/front/src/program/shared.rs
+++ b/crates/front/src/program/shared.rs
@@ -26,4 +26,6 @@
     pub clients: usize,
     pub per_engine: usize,
     pub connect_timeout: Duration,
+    /// Unix time since when engines count as cold, where it is not known what they hold.
+    pub cold_since: Option<Duration>,
 }
--- a/crates/front/src/program/start.rs
+++ b/crates/front/src/program/start.rs
@@ -1,7 +1,8 @@
 //! Reads what the front is told, starts the parts, and waits for the end.
 
+use super::consulted::Consulting;
 use super::shared::Shared;
-use super::{channel, clients, engines};
+use super::{channel, clients, consulted, engines};
 use crate::protocol;
 use crate::protocol::channel::News;
 use crate::transport::{self, Pulse, Room};
@@ -9,6 +10,7 @@
 use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
+use lemonusher::{Reports, ServiceTerms};
 use lemonusher_membership::Wanted;
 use lemonusher_routing::{Clock, Counters, Heard, Limits, Managed, Noticed, Owner};
 use lemonusher_stated::{LoadFields, Settled, deployment, span};
@@ -112,6 +114,8 @@
     pub locations: Vec<String>,
     pub kinds: Vec<String>,
     pub service_groups: Vec<String>,
+    /// What is stated of each.
+    pub terms: Vec<ServiceTerms>,
 }
 
 /// Reads the names from the file that a front is told.
@@ -120,6 +124,7 @@
     let settled =
         Settled::deserialize(&told.settings).map_err(|e| Unfit::Malformed(path.to_owned(), e.to_string()))?;
     Ok(Names {
+        terms: deployment(&settled).service_groups,
         front: told.name,
         locations: settled.areas,
         kinds: settled.kinds,
@@ -130,11 +135,11 @@
 /// Serves by what `PROXY_CONFIG` names until told to end.
 pub fn run() -> Result<(), Unfit> {
     let path = std::env::var("PROXY_CONFIG").map_err(|_| Unfit::Missing("PROXY_CONFIG"))?;
-    serve(path, None)
+    serve(path, None, None)
 }
 
-/// Serves by this file until told to end.
-pub fn serve(path: String, door: Option<Door>) -> Result<(), Unfit> {
+/// Serves by this file until told to end: clients and engines, or proxies that dispatch by themselves.
+pub fn serve(path: String, door: Option<Door>, consulting: Option<Consulting>) -> Result<(), Unfit> {
     // Watched from the first on: a signal that comes during the start is heard after it.
     let watched = [Signal::Term, Signal::Int, Signal::Usr1, Signal::Hup];
     let mut signals = Signals::new(watched).map_err(Unfit::Signals)?;
@@ -145,8 +150,17 @@
         u64::from_str_radix(&told.seed, 16).map_err(|_| malformed("'seed' is no hex number".into()))?;
     let known = protocol::channel::known(told.known.get(), &settled.areas, &settled.kinds)
         .map_err(|e| malformed(e.to_string()))?;
-    let stated = deployment(&settled);
-    let listener = transport::listen(told.listen, BACKLOG).map_err(|e| Unfit::Listen(told.listen, e))?;
+    let mut stated = deployment(&settled);
+    let listener = match &consulting {
+        None => Some(transport::listen(told.listen, BACKLOG).map_err(|e| Unfit::Listen(told.listen, e))?),
+        Some(_) => {
+            // Engines are reached by proxies alone, so nothing is probed and no load is reported.
+            (stated.permits.probes, stated.permits.cancel) = (false, false);
+            stated.reports = Reports::None;
+            None
+        }
+    };
+    let recovers = consulting.as_ref().is_some_and(|consulting| consulting.recovers);
 
     let longest = stated.service_groups.iter().map(|t| t.time_limit).max().unwrap_or_default();
     let clock = Clock::starting(oldest_cold(&known.1, stated.duties.cold_for) + stated.tick);
@@ -179,10 +193,16 @@
         per_engine: third / 32,
         pulse: Pulse::new(PULSE),
         connect_timeout: span(settled.ceilings.connect_timeout_us),
+        cold_since: recovers.then(|| SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()),
         settled,
     });
-    let address = listener.get_ref().local_addr().map_err(|e| Unfit::Listen(told.listen, e))?;
-    log::info!("front {} listens on {address}, {} engine events known", told.name, known.1.len());
+    match &listener {
+        Some(listener) => {
+            let address = listener.get_ref().local_addr().map_err(|e| Unfit::Listen(told.listen, e))?;
+            log::info!("front {} listens on {address}, {} engine events known", told.name, known.1.len());
+        }
+        None => log::info!("front {} serves proxies, {} engine events known", told.name, known.1.len()),
+    }
     let mut owner = Owner::new(stated, seed, clock, limits, orders, counters.clone());
     if let Some(door) = door {
         owner = owner.managed(door.wanted, door.notices);
@@ -191,9 +211,14 @@
     let open = owner.open();
     let start = async {
         executor.spawn(owner.run(heard)).detach();
-        executor.spawn(engines::run(shared.clone(), ordered)).detach();
+        match consulting {
+            Some(consulting) => executor.spawn(consulted::run(shared.clone(), ordered, consulting)).detach(),
+            None => executor.spawn(engines::run(shared.clone(), ordered)).detach(),
+        }
         executor.spawn(channel::run(shared.clone(), addresses, known)).detach();
-        executor.spawn(clients::run(shared.clone(), listener)).detach();
+        if let Some(listener) = listener {
+            executor.spawn(clients::run(shared.clone(), listener)).detach();
+        }
         executor.spawn(beat(shared.clone())).detach();
         let by = LONGEST_CLOSING.min(longest) + CLOSING_GRACE - CLOSING_MARGIN;
         let reload = || reload(&path, &mut told, &moved);
--- /dev/null
+++ b/crates/processor/src/door.rs
@@ -0,0 +1,347 @@
+use crate::names::{Fault, Group, Headers, Names, outcome_of};
+use crate::{FromProxy, Told};
+use envoy_types::pb::envoy::config::core::v3::{HeaderValue, HeaderValueOption};
+use envoy_types::pb::envoy::service::ext_proc::v3::external_processor_server::{
+    ExternalProcessor, ExternalProcessorServer,
+};
+use envoy_types::pb::envoy::service::ext_proc::v3::processing_request::Request as Said;
+use envoy_types::pb::envoy::service::ext_proc::v3::processing_response::Response as Answer;
+use envoy_types::pb::envoy::service::ext_proc::v3::{
+    BodyResponse, CommonResponse, HeaderMutation, HeadersResponse, ImmediateResponse, ProcessingRequest,
+    ProcessingResponse, TrailersResponse,
+};
+use envoy_types::pb::envoy::r#type::v3::HttpStatus;
+use lemonusher::BatchId;
+use lemonusher_consult::{Key, StreamId, Ticket, Verdict};
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{Semaphore, mpsc};
+use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::{Stream, StreamExt};
+use tonic::transport::Server;
+use tonic::{Request, Response, Status, Streaming};
+
+/// Events of proxies that may wait for the front.
+const QUEUE: usize = 4096;
+/// Answers that a stream may be behind: one verdict and a few requests for more time.
+const LINE: usize = 8;
+const LARGEST_MESSAGE: usize = 1024 * 1024;
+const STREAMS_A_CONNECTION: u32 = 4096;
+const KEEPALIVE: Duration = Duration::from_secs(10);
+
+/// What the operator's file says of the door.
+#[derive(Debug, Clone)]
+pub struct Terms {
+    pub listen: SocketAddr,
+    pub names: Names,
+    pub groups: Vec<Group>,
+    pub key: Key,
+    /// A ticket is sound for so long.
+    pub ticket: Duration,
+    /// Streams at once, over all proxies.
+    pub streams: usize,
+}
+
+pub struct Started {
+    pub address: SocketAddr,
+    pub heard: async_channel::Receiver<FromProxy>,
+}
+
+struct Door {
+    terms: Terms,
+    heard: async_channel::Sender<FromProxy>,
+    next: AtomicU64,
+    places: Arc<Semaphore>,
+}
+
+/// Opens the door, on a thread of its own.
+pub fn start(terms: Terms) -> io::Result<Started> {
+    let listener = TcpListener::bind(terms.listen)?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let (sender, heard) = async_channel::bounded(QUEUE);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let places = Arc::new(Semaphore::new(terms.streams));
+    // Numbers of streams go on from the clock, so that unnamed batches of two processes never meet.
+    let door = Door { terms, heard: sender, next: AtomicU64::new(unix_ms() << 20), places };
+    let serve = async move {
+        let (reporter, health) = tonic_health::server::health_reporter();
+        reporter.set_serving::<ExternalProcessorServer<Door>>().await;
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        let service = ExternalProcessorServer::new(door).max_decoding_message_size(LARGEST_MESSAGE);
+        let served = Server::builder()
+            .max_concurrent_streams(STREAMS_A_CONNECTION)
+            .http2_keepalive_interval(Some(KEEPALIVE))
+            .http2_keepalive_timeout(Some(KEEPALIVE))
+            .tcp_nodelay(true)
+            .add_service(health)
+            .add_service(service)
+            .serve_with_incoming(TcpListenerStream::new(listener).map(|wire| {
+                if let Ok(wire) = &wire {
+                    let _ = wire.set_nodelay(true);
+                }
+                wire
+            }));
+        served.await.map_err(io::Error::other)
+    };
+    let run = move || {
+        if let Err(error) = runtime.block_on(serve) {
+            tracing::error!("the external processor ends: {error}");
+        }
+    };
+    std::thread::Builder::new().name("processor".to_owned()).spawn(run)?;
+    Ok(Started { address, heard })
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// One stream. However it ends, the front hears of it once.
+struct Consulted {
+    stream: StreamId,
+    heard: async_channel::Sender<FromProxy>,
+    /// A question was asked that the front knows of.
+    asked: bool,
+    whole: bool,
+}
+
+impl Drop for Consulted {
+    fn drop(&mut self) {
+        if !self.asked {
+            return;
+        }
+        let ended = FromProxy::Ended { stream: self.stream, whole: self.whole };
+        if let Err(async_channel::TrySendError::Full(ended)) = self.heard.try_send(ended) {
+            // The queue is full for now: the end must be told all the same.
+            let heard = self.heard.clone();
+            tokio::spawn(async move { heard.send(ended).await });
+        }
+    }
+}
+
+type Line = Pin<Box<dyn Stream<Item = Result<ProcessingResponse, Status>> + Send>>;
+
+#[tonic::async_trait]
+impl ExternalProcessor for Door {
+    type ProcessStream = Line;
+
+    async fn process(
+        &self,
+        request: Request<Streaming<ProcessingRequest>>,
+    ) -> Result<Response<Self::ProcessStream>, Status> {
+        let place = self.places.clone().try_acquire_owned();
+        let place =
+            place.map_err(|_| Status::resource_exhausted("there are as many streams as there may be"))?;
+        let stream = self.next.fetch_add(1, Ordering::Relaxed);
+        let consulted = Consulted { stream, heard: self.heard.clone(), asked: false, whole: false };
+        let (line, answers) = mpsc::channel(LINE);
+        let terms = self.terms.clone();
+        let said = request.into_inner();
+        tokio::spawn(async move {
+            let _place = place;
+            converse(consulted, terms, said, line).await;
+        });
+        Ok(Response::new(Box::pin(ReceiverStream::new(answers))))
+    }
+}
+
+/// One stream, from its headers to its end.
+async fn converse(
+    mut consulted: Consulted,
+    terms: Terms,
+    mut said: Streaming<ProcessingRequest>,
+    line: mpsc::Sender<Result<ProcessingResponse, Status>>,
+) {
+    let mut batch: Option<BatchId> = None;
+    let mut verdicts: Option<async_channel::Receiver<Told>> = None;
+    let mut decided = false;
+    loop {
+        let verdict = async {
+            match &verdicts {
+                Some(verdicts) => verdicts.recv().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            told = verdict => {
+                let Ok(told) = told else {
+                    // The front has given the stream up.
+                    verdicts = None;
+                    continue;
+                };
+                let trip = told.waited + told.at.elapsed();
+                let (answer, last) = answer_of(&terms, batch.as_deref().unwrap_or_default(), told);
+                decided |= !matches!(answer.response, None);
+                let _ = consulted.heard.try_send(FromProxy::Measured(trip));
+                if line.send(Ok(answer)).await.is_err() {
+                    return;
+                }
+                if last {
+                    // The proxy has its answer for the client; there is nothing more to hear.
+                    consulted.whole = true;
+                    return;
+                }
+            }
+            message = said.message() => {
+                let request = match message {
+                    Ok(Some(message)) => message,
+                    Ok(None) => {
+                        consulted.whole = true;
+                        return;
+                    }
+                    Err(_) => return,
+                };
+                let details = details_of(&request);
+                let reply = match request.request {
+                    Some(Said::RequestHeaders(headers)) if batch.is_none() => {
+                        let received = Instant::now();
+                        let asked = Headers::read(headers.headers).and_then(|headers| {
+                            terms.names.asked(consulted.stream, &headers, &terms.groups, &terms.key, unix_ms())
+                        });
+                        match asked {
+                            Ok(asked) => {
+                                batch = Some(asked.batch.clone());
+                                let (sender, receiver) = async_channel::bounded(LINE);
+                                verdicts = Some(receiver);
+                                consulted.asked = true;
+                                let asked = FromProxy::Asked { asked, line: sender, received };
+                                if consulted.heard.send(asked).await.is_err() {
+                                    return;
+                                }
+                                continue;
+                            }
+                            Err(fault) => {
+                                let _ = line.send(Ok(refused(fault))).await;
+                                return;
+                            }
+                        }
+                    }
+                    Some(Said::ResponseHeaders(headers)) if decided => {
+                        let Ok(headers) = Headers::read(headers.headers) else {
+                            return;
+                        };
+                        let status = headers.get(":status").and_then(|text| text.parse().ok()).unwrap_or(0);
+                        let outcome = outcome_of(status, headers.get(&terms.names.outcome), details.as_deref());
+                        let answered = FromProxy::Answered { stream: consulted.stream, outcome };
+                        if consulted.heard.send(answered).await.is_err() {
+                            return;
+                        }
+                        Answer::ResponseHeaders(HeadersResponse::default())
+                    }
+                    // Modes that the file does not ask for are let pass, so that a proxy set otherwise still works.
+                    Some(Said::RequestBody(_)) if decided => Answer::RequestBody(BodyResponse::default()),
+                    Some(Said::ResponseBody(_)) if decided => Answer::ResponseBody(BodyResponse::default()),
+                    Some(Said::RequestTrailers(_)) if decided => {
+                        Answer::RequestTrailers(TrailersResponse::default())
+                    }
+                    Some(Said::ResponseTrailers(_)) if decided => {
+                        Answer::ResponseTrailers(TrailersResponse::default())
+                    }
+                    _ => {
+                        let _ = line.send(Err(Status::invalid_argument("a message out of order"))).await;
+                        return;
+                    }
+                };
+                let reply = ProcessingResponse { response: Some(reply), ..ProcessingResponse::default() };
+                if line.send(Ok(reply)).await.is_err() {
+                    return;
+                }
+            }
+            () = line.closed() => return,
+        }
+    }
+}
+
+/// The proxy's own word on a response that it made itself.
+fn details_of(request: &ProcessingRequest) -> Option<String> {
+    let attributes = request.attributes.get("envoy.filters.http.ext_proc")?;
+    let value = attributes.fields.get("response.code_details")?;
+    match value.kind.as_ref()? {
+        envoy_types::pb::google::protobuf::value::Kind::StringValue(text) => {
+            Some(text.chars().take(256).collect())
+        }
+        _ => None,
+    }
+}
+
+fn header(name: &str, value: String) -> HeaderValueOption {
+    HeaderValueOption {
+        header: Some(HeaderValue {
+            key: name.to_owned(),
+            raw_value: value.into_bytes(),
+            ..HeaderValue::default()
+        }),
+        append_action: 2, // Overwrite, or add.
+        ..HeaderValueOption::default()
+    }
+}
+
+/// The message for a verdict, and whether it is the stream's last.
+fn answer_of(terms: &Terms, batch: &str, told: Told) -> (ProcessingResponse, bool) {
+    let names = &terms.names;
+    match told.verdict {
+        Verdict::Go { engine, time_limit, dispatch } => {
+            let until = Ticket::until(unix_ms(), terms.ticket);
+            let ticket = Ticket { batch: batch.to_owned(), engine, dispatch, until };
+            let mut set_headers = vec![
+                header(&names.ticket, ticket.seal(&terms.key)),
+                header(&names.time_limit, (time_limit.as_millis() as u64).max(1).to_string()),
+            ];
+            set_headers.extend(told.address.map(|address| header(&names.engine, address.to_string())));
+            let mutation = HeaderMutation { set_headers, ..HeaderMutation::default() };
+            let common = CommonResponse {
+                header_mutation: Some(mutation),
+                clear_route_cache: true,
+                ..CommonResponse::default()
+            };
+            let answer = Answer::RequestHeaders(HeadersResponse { response: Some(common) });
+            (ProcessingResponse { response: Some(answer), ..ProcessingResponse::default() }, false)
+        }
+        Verdict::Wait(more) => {
+            let more = envoy_types::pb::google::protobuf::Duration {
+                seconds: more.as_secs() as i64,
+                nanos: more.subsec_nanos() as i32,
+            };
+            let answer =
+                ProcessingResponse { override_message_timeout: Some(more), ..ProcessingResponse::default() };
+            (answer, false)
+        }
+        Verdict::PushBack(wait) => {
+            let mut set_headers = vec![header(&names.outcome, "pushed-back".to_owned())];
+            if let Some(wait) = wait {
+                let seconds = wait.as_millis().div_ceil(1000);
+                set_headers.push(header("retry-after", seconds.to_string()));
+                set_headers.push(header("x-lemonusher-come-back-ms", wait.as_millis().to_string()));
+            }
+            (immediate(503, set_headers, "pushed back"), true)
+        }
+        Verdict::Error => {
+            let set_headers = vec![header(&names.outcome, "errored".to_owned())];
+            (immediate(502, set_headers, "errored"), true)
+        }
+    }
+}
+
+fn immediate(code: i32, set_headers: Vec<HeaderValueOption>, details: &str) -> ProcessingResponse {
+    let answer = ImmediateResponse {
+        status: Some(HttpStatus { code }),
+        headers: Some(HeaderMutation { set_headers, ..HeaderMutation::default() }),
+        details: details.replace(' ', "_"),
+        ..ImmediateResponse::default()
+    };
+    ProcessingResponse { response: Some(Answer::ImmediateResponse(answer)), ..ProcessingResponse::default() }
+}
+
+fn refused(fault: Fault) -> ProcessingResponse {
+    let (code, details) = match fault {
+        Fault::TooMany => (431, "too many headers"),
+        Fault::NoServiceGroup => (400, "no service group is named"),
+        Fault::BadBatch => (400, "the batch's id is too long"),
+    };
+    immediate(code, Vec::new(), details)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -109,8 +109,22 @@
         Front::spawn(command, file)
     }
 
+    /// Waits until what the command starts says this.
+    pub fn spawn_until(command: Command, file: PathBuf, said: &str) -> Front {
+        Front::spawn_with(command, file, |line| {
+            line.contains(said).then(|| SocketAddr::from(([127, 0, 0, 1], 0)))
+        })
+    }
+
     /// Waits until the front that the command starts listens.
-    pub fn spawn(mut command: Command, file: PathBuf) -> Front {
+    pub fn spawn(command: Command, file: PathBuf) -> Front {
+        Front::spawn_with(command, file, |line| {
+            let address = line.split_once("listens on ").and_then(|(_, rest)| rest.split(',').next());
+            address.and_then(|text| text.parse().ok())
+        })
+    }
+
+    fn spawn_with(mut command: Command, file: PathBuf, ready: impl Fn(&str) -> Option<SocketAddr>) -> Front {
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let stderr = BufReader::new(child.stderr.take().unwrap());
         let (send, log) = channel();
@@ -118,8 +132,7 @@
         let mut before = Vec::new();
         let address = loop {
             let line: String = log.recv_timeout(LONG).unwrap_or_else(|_| panic!("no start: {before:?}"));
-            let address = line.split_once("listens on ").and_then(|(_, rest)| rest.split(',').next());
-            if let Some(address) = address.and_then(|text| text.parse().ok()) {
+            if let Some(address) = ready(&line) {
                 break address;
             }
             before.push(line);
