A consulted stream that is reset after its answer is over, not broken; the statement's body

Cause: proxies reset the gRPC stream of a request that is done. Read as a response that broke off, it struck the engine, and a quarter of the verdicts then waited 250 ms for engines that rested.

Change: once the engine has answered, only a lost connection makes the end a broken one. The owner's tick is the operator's in this mode (250 us), as a verdict waits for it. The request's body is asked for where it holds the statement. A test drains an engine between verdict and dispatch.

--- a/crates/cli/src/file.rs
+++ b/crates/cli/src/file.rs
@@ -165,9 +165,15 @@
     pub streams: Spanned<usize>,
     #[serde(default = "Processor::remembered")]
     pub remembered: usize,
+    /// The request's body holds the statement, from which its table group is read.
+    #[serde(default)]
+    pub statement: bool,
     /// Engines count as cold at the start, as it is not known what proxies still have out there.
     #[serde(default = "Processor::recovers")]
     pub recovers: bool,
+    /// Decisions are made this often at most, in microseconds.
+    #[serde(default = "Processor::tick")]
+    pub tick_us: Spanned<u64>,
     #[serde(default)]
     pub headers: Headers,
     /// Path prefixes that stand for a service group.
@@ -206,6 +212,10 @@
         Spanned::new(0..0, 200)
     }
 
+    fn tick() -> Spanned<u64> {
+        Spanned::new(0..0, 250)
+    }
+
     fn retry_within() -> u64 {
         500
     }
@@ -306,6 +316,9 @@
             let what = "'message_timeout_ms' goes from 5 to 60000, as the proxies have it";
             say(processor.message_timeout_ms.span(), what.to_owned());
         }
+        if !(50..=50_000).contains(processor.tick_us.get_ref()) {
+            say(processor.tick_us.span(), "'tick_us' goes from 50 to 50000".to_owned());
+        }
         if !(1..=1_000_000).contains(processor.streams.get_ref()) {
             say(processor.streams.span(), "'streams' goes from 1 to 1000000".to_owned());
         }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -190,12 +190,12 @@
     };
     let consulting = match processor {
         None => None,
-        Some((terms, consult, recovers)) => {
+        Some((terms, consult, recovers, tick)) => {
             let listen = terms.listen;
             let started = lemonusher_processor::start(terms)
                 .map_err(|error| failed(format!("can't listen on {listen}: {error}")))?;
             tracing::info!("external processor at {}", started.address);
-            Some(lemonusher_front::Consulting { terms: consult, heard: started.heard, recovers })
+            Some(lemonusher_front::Consulting { terms: consult, heard: started.heard, recovers, tick })
         }
     };
     lemonusher_front::serve(told, door, consulting).map_err(|unfit| failed(unfit.to_string()))
@@ -205,7 +205,7 @@
 fn processor_of(
     held: &file::Processor,
     names: &lemonusher_front::Names,
-) -> Result<(lemonusher_processor::Terms, lemonusher_consult::Terms, bool), Failure> {
+) -> Result<(lemonusher_processor::Terms, lemonusher_consult::Terms, bool, Duration), Failure> {
     let ms = |ms: u64| Duration::from_millis(ms);
     let longest = names.terms.iter().map(|terms| terms.time_limit).max().unwrap_or_default();
     let key = match &held.key_file {
@@ -228,6 +228,7 @@
         key,
         ticket: longest * 2,
         streams: *held.streams.get_ref(),
+        statement: held.statement.then_some(lemonusher_front::table_group),
     };
     let consult = lemonusher_consult::Terms {
         message_timeout: ms(*held.message_timeout_ms.get_ref()),
@@ -239,7 +240,7 @@
         most_calls: *held.streams.get_ref(),
         most_remembered: held.remembered,
     };
-    Ok((door, consult, held.recovers))
+    Ok((door, consult, held.recovers, Duration::from_micros(*held.tick_us.get_ref())))
 }
 
 /// What the file says of managers, with the files read that it names.
--- a/crates/cli/tests/proof_processor.rs
+++ b/crates/cli/tests/proof_processor.rs
@@ -1,6 +1,9 @@
 //! Proof of the external processor: the program as a process, a stand-in proxy, engines that tally. Each claim
 //! prints a line `proof: NAME figure`.
 
+#[path = "managers/mod.rs"]
+#[allow(dead_code)]
+mod managers;
 #[path = "proxies/mod.rs"]
 mod proxies;
 
@@ -48,7 +51,11 @@
 
 /// A third of all is work that must never run twice.
 fn name(number: u32) -> (String, &'static str) {
-    if number % 3 == 0 { (format!("once-{number}"), "load") } else { (format!("often-{number}"), "look-up") }
+    if number.is_multiple_of(3) {
+        (format!("once-{number}"), "load")
+    } else {
+        (format!("often-{number}"), "look-up")
+    }
 }
 
 /// How often each id ran, over all engines; none that must run once ran twice.
@@ -267,3 +274,42 @@
         println!("proof: rolling restart of three, 900 requests, each one answer, {served} served, none once-only twice");
     });
 }
+
+#[test]
+fn an_engine_that_drains_between_verdict_and_dispatch_gets_nothing_past_the_grace() {
+    const GRACE: Duration = Duration::from_secs(2); // As the stand-in's deployment states it.
+    runtime().block_on(async {
+        let engines = [HttpEngine::start(|_| Does::Serve).await, HttpEngine::start(|_| Does::Serve).await];
+        let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+        let more = "recovers = false\nstatement = true\nmessage_timeout_ms = 1000\n[managed]\n[managed.gnmi]\nlisten = \"127.0.0.1:0\"";
+        let processor = Processor::new(&addresses, more);
+        let gnmi = processor.front.as_ref().unwrap().said_at_start("gNMI at").unwrap().parse().unwrap();
+        let mut proxy = Proxy::new(&[processor.address], None);
+        proxy.body = Some("select * from sales_17.orders".to_owned());
+        let first = drive(&proxy, 0..100, 4).await;
+        assert!(first.values().all(|answer| answer.status == 200));
+        // One table group has one home: the statement was read.
+        let home = usize::from(engines[1].ran().len() > engines[0].ran().len());
+        assert!(engines[home].ran().len() > 60, "{} {}", engines[0].ran().len(), engines[1].ran().len());
+        let id = format!("{:08x}", home + 1);
+        let pool = serde_json::json!({"name": "a", "engine": [id], "admin-state": "draining"});
+        let mut manager = managers::Gnmi::connect(gnmi).await;
+        let load = {
+            let proxy = proxy.clone();
+            tokio::spawn(async move { drive(&proxy, 1000..3000, 8).await })
+        };
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        manager.set(vec![managers::update("/front/pool[name=a]", &pool)]).await.unwrap();
+        let drained = std::time::Instant::now();
+        let answers = load.await.unwrap();
+        assert_eq!(answers.len(), 2000);
+        while drained.elapsed() < GRACE {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        let then = engines[home].ran().len();
+        let after = drive(&proxy, 5000..5200, 8).await;
+        assert!(after.values().all(|answer| answer.status == 200));
+        assert_eq!(engines[home].ran().len(), then);
+        println!("proof: drained behind a proxy {} requests after the grace, 0 at the drained engine", after.len());
+    });
+}
--- a/crates/cli/tests/proxies/mod.rs
+++ b/crates/cli/tests/proxies/mod.rs
@@ -6,7 +6,9 @@
 use envoy_types::pb::envoy::service::ext_proc::v3::external_processor_client::ExternalProcessorClient;
 use envoy_types::pb::envoy::service::ext_proc::v3::processing_request::Request as Say;
 use envoy_types::pb::envoy::service::ext_proc::v3::processing_response::Response as Answer;
-use envoy_types::pb::envoy::service::ext_proc::v3::{HttpHeaders, ProcessingRequest, ProcessingResponse};
+use envoy_types::pb::envoy::service::ext_proc::v3::{
+    HttpBody, HttpHeaders, ProcessingRequest, ProcessingResponse,
+};
 use envoy_types::pb::google::protobuf::{Struct, Value, value::Kind};
 use lemonusher_standin::{Front, file, place, told};
 use std::collections::BTreeMap;
@@ -147,6 +149,8 @@
     pub own: Option<SocketAddr>,
     pub attempts: u32,
     pub upstream_timeout: Duration,
+    /// A body that goes with each request, where the processor wants it.
+    pub body: Option<String>,
     channels: Arc<Mutex<BTreeMap<SocketAddr, Channel>>>,
     turn: Arc<AtomicU64>,
     /// Messages that got no answer in time.
@@ -189,6 +193,7 @@
             own,
             attempts: 3,
             upstream_timeout: Duration::from_secs(5),
+            body: None,
             channels: Arc::default(),
             turn: Arc::default(),
             late: Arc::default(),
@@ -248,12 +253,19 @@
                     None => return done(504, None, false),
                 }
             };
-            let _ = send.send(say(Say::RequestHeaders(headers(list)))).await;
+            let mut first = headers(list);
+            first.end_of_stream = self.body.is_none();
+            let _ = send.send(say(Say::RequestHeaders(first))).await;
             let mut limit = self.message_timeout;
             let verdict = loop {
                 match tokio::time::timeout(limit, answers.message()).await {
                     Ok(Ok(Some(answer))) => match answer.override_message_timeout {
                         Some(more) => limit = Duration::new(more.seconds as u64, more.nanos as u32),
+                        None if answer.mode_override.is_some() => {
+                            let body = self.body.clone().unwrap_or_default().into_bytes();
+                            let body = HttpBody { body, end_of_stream: true, ..Default::default() };
+                            let _ = send.send(say(Say::RequestBody(body))).await;
+                        }
                         None => break answer.response,
                     },
                     Ok(_) => break None,
@@ -276,6 +288,7 @@
                     return done(answer.status.unwrap().code as u32, get("x-lemonusher-outcome"), come_back);
                 }
                 Some(Answer::RequestHeaders(answer)) => answer.response.unwrap().header_mutation.unwrap(),
+                Some(Answer::RequestBody(answer)) => answer.response.unwrap().header_mutation.unwrap(),
                 _ => {
                     drop((send, answers));
                     match self.without(id, attempt).await {
--- a/crates/consult/tests/consult.rs
+++ b/crates/consult/tests/consult.rs
@@ -326,9 +326,8 @@
                     return;
                 }
                 let (stream, verdict) = self.inbox.remove(0);
-                let waits = |request: &&mut Request| matches!(request.at, AtProxy::Waits { stream: held, .. } if held == stream);
-                let Some(number) = self.requests.iter_mut().position(|mut request| waits(&&mut *request))
-                else {
+                let waits = |request: &Request| matches!(request.at, AtProxy::Waits { stream: held, .. } if held == stream);
+                let Some(number) = self.requests.iter().position(waits) else {
                     return;
                 };
                 let request = &mut self.requests[number];
--- a/crates/front/src/lib.rs
+++ b/crates/front/src/lib.rs
@@ -7,3 +7,4 @@
 
 pub use program::consulted::Consulting;
 pub use program::start::{Door, Names, Unfit, names, run, serve};
+pub use protocol::statement::table_group;
--- a/crates/front/src/program/consulted.rs
+++ b/crates/front/src/program/consulted.rs
@@ -21,6 +21,8 @@
     pub heard: Receiver<FromProxy>,
     /// A start after a crash: what proxies still have out is not known.
     pub recovers: bool,
+    /// The owner decides this often at most, in the place of what the deployment states: a verdict waits for it.
+    pub tick: Duration,
 }
 
 /// Takes the owner's answers, which come in the middle of its turn, for later.
--- a/crates/front/src/program/start.rs
+++ b/crates/front/src/program/start.rs
@@ -153,7 +153,8 @@
     let mut stated = deployment(&settled);
     let listener = match &consulting {
         None => Some(transport::listen(told.listen, BACKLOG).map_err(|e| Unfit::Listen(told.listen, e))?),
-        Some(_) => {
+        Some(consulting) => {
+            stated.tick = consulting.tick;
             // Engines are reached by proxies alone, so nothing is probed and no load is reported.
             (stated.permits.probes, stated.permits.cancel) = (false, false);
             stated.reports = Reports::None;
--- a/crates/processor/src/door.rs
+++ b/crates/processor/src/door.rs
@@ -1,6 +1,7 @@
 use crate::names::{Fault, Group, Headers, Names, outcome_of};
 use crate::{FromProxy, Told};
 use envoy_types::pb::envoy::config::core::v3::{HeaderValue, HeaderValueOption};
+use envoy_types::pb::envoy::extensions::filters::http::ext_proc::v3::ProcessingMode;
 use envoy_types::pb::envoy::service::ext_proc::v3::external_processor_server::{
     ExternalProcessor, ExternalProcessorServer,
 };
@@ -23,7 +24,7 @@
 use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
 use tokio_stream::{Stream, StreamExt};
 use tonic::transport::Server;
-use tonic::{Request, Response, Status, Streaming};
+use tonic::{Code, Request, Response, Status, Streaming};
 
 /// Events of proxies that may wait for the front.
 const QUEUE: usize = 4096;
@@ -33,6 +34,10 @@
 const STREAMS_A_CONNECTION: u32 = 4096;
 const KEEPALIVE: Duration = Duration::from_secs(10);
 
+// Values of the protocol's enumerations.
+const BUFFERED: i32 = 2;
+const SEND: i32 = 1;
+
 /// What the operator's file says of the door.
 #[derive(Debug, Clone)]
 pub struct Terms {
@@ -44,6 +49,8 @@
     pub ticket: Duration,
     /// Streams at once, over all proxies.
     pub streams: usize,
+    /// Reads the table group off a statement. With it the statement is asked for, as the request's body.
+    pub statement: Option<fn(&str) -> Option<u64>>,
 }
 
 pub struct Started {
@@ -160,6 +167,9 @@
     let mut batch: Option<BatchId> = None;
     let mut verdicts: Option<async_channel::Receiver<Told>> = None;
     let mut decided = false;
+    // What waits for its statement, and whether the verdict answers the body.
+    let mut headers_alone = None;
+    let mut by_body = false;
     loop {
         let verdict = async {
             match &verdicts {
@@ -175,8 +185,8 @@
                     continue;
                 };
                 let trip = told.waited + told.at.elapsed();
-                let (answer, last) = answer_of(&terms, batch.as_deref().unwrap_or_default(), told);
-                decided |= !matches!(answer.response, None);
+                let (answer, last) = answer_of(&terms, batch.as_deref().unwrap_or_default(), told, by_body);
+                decided |= answer.response.is_some();
                 let _ = consulted.heard.try_send(FromProxy::Measured(trip));
                 if line.send(Ok(answer)).await.is_err() {
                     return;
@@ -194,18 +204,31 @@
                         consulted.whole = true;
                         return;
                     }
-                    Err(_) => return,
+                    Err(status) => {
+                        // Proxies reset the stream of a request that is over. Before the engine's answer, or with
+                        // the connection lost, a reset tells nothing of the kind.
+                        consulted.whole &= status.code() == Code::Cancelled;
+                        return;
+                    }
                 };
                 let details = details_of(&request);
                 let reply = match request.request {
                     Some(Said::RequestHeaders(headers)) if batch.is_none() => {
                         let received = Instant::now();
+                        let ends = headers.end_of_stream;
                         let asked = Headers::read(headers.headers).and_then(|headers| {
                             terms.names.asked(consulted.stream, &headers, &terms.groups, &terms.key, unix_ms())
                         });
                         match asked {
                             Ok(asked) => {
                                 batch = Some(asked.batch.clone());
+                                if terms.statement.is_some() && !ends {
+                                    headers_alone = Some(asked);
+                                    if line.send(Ok(wants_body())).await.is_err() {
+                                        return;
+                                    }
+                                    continue;
+                                }
                                 let (sender, receiver) = async_channel::bounded(LINE);
                                 verdicts = Some(receiver);
                                 consulted.asked = true;
@@ -227,12 +250,31 @@
                         };
                         let status = headers.get(":status").and_then(|text| text.parse().ok()).unwrap_or(0);
                         let outcome = outcome_of(status, headers.get(&terms.names.outcome), details.as_deref());
-                        let answered = FromProxy::Answered { stream: consulted.stream, outcome };
-                        if consulted.heard.send(answered).await.is_err() {
+                        // However the stream ends now, the engine has answered; but see below.
+                        consulted.whole = true;
+                        let told = FromProxy::Answered { stream: consulted.stream, outcome };
+                        if consulted.heard.send(told).await.is_err() {
                             return;
                         }
                         Answer::ResponseHeaders(HeadersResponse::default())
                     }
+                    Some(Said::RequestBody(body)) if headers_alone.is_some() => {
+                        let received = Instant::now();
+                        let Some(mut asked) = headers_alone.take() else { return };
+                        let statement = String::from_utf8_lossy(&body.body);
+                        if let Some(group) = terms.statement.and_then(|read| read(&statement)) {
+                            asked.table_group = group;
+                        }
+                        by_body = true;
+                        let (sender, receiver) = async_channel::bounded(LINE);
+                        verdicts = Some(receiver);
+                        consulted.asked = true;
+                        let asked = FromProxy::Asked { asked, line: sender, received };
+                        if consulted.heard.send(asked).await.is_err() {
+                            return;
+                        }
+                        continue;
+                    }
                     // Modes that the file does not ask for are let pass, so that a proxy set otherwise still works.
                     Some(Said::RequestBody(_)) if decided => Answer::RequestBody(BodyResponse::default()),
                     Some(Said::ResponseBody(_)) if decided => Answer::ResponseBody(BodyResponse::default()),
@@ -282,7 +324,7 @@
 }
 
 /// The message for a verdict, and whether it is the stream's last.
-fn answer_of(terms: &Terms, batch: &str, told: Told) -> (ProcessingResponse, bool) {
+fn answer_of(terms: &Terms, batch: &str, told: Told, by_body: bool) -> (ProcessingResponse, bool) {
     let names = &terms.names;
     match told.verdict {
         Verdict::Go { engine, time_limit, dispatch } => {
@@ -299,7 +341,10 @@
                 clear_route_cache: true,
                 ..CommonResponse::default()
             };
-            let answer = Answer::RequestHeaders(HeadersResponse { response: Some(common) });
+            let answer = match by_body {
+                true => Answer::RequestBody(BodyResponse { response: Some(common) }),
+                false => Answer::RequestHeaders(HeadersResponse { response: Some(common) }),
+            };
             (ProcessingResponse { response: Some(answer), ..ProcessingResponse::default() }, false)
         }
         Verdict::Wait(more) => {
@@ -327,6 +372,20 @@
     }
 }
 
+/// The headers go on as they are; the body is to come whole.
+fn wants_body() -> ProcessingResponse {
+    let mode = ProcessingMode {
+        request_body_mode: BUFFERED,
+        response_header_mode: SEND,
+        ..ProcessingMode::default()
+    };
+    ProcessingResponse {
+        response: Some(Answer::RequestHeaders(HeadersResponse::default())),
+        mode_override: Some(mode),
+        ..ProcessingResponse::default()
+    }
+}
+
 fn immediate(code: i32, set_headers: Vec<HeaderValueOption>, details: &str) -> ProcessingResponse {
     let answer = ImmediateResponse {
         status: Some(HttpStatus { code }),
