Emulator in virtual time, with a checker of the seven rules tested by faulty owners

Change: crates/emulator plays a world stated in TOML: engines that share cores and memory, fronts that each own a gateway, clients that ask again, a script of failures. A checker sees both sides. Owners made faulty, one way for each rule, show that it sees what it is for.

--- /dev/null
+++ b/crates/emulator/src/check.rs
@@ -0,0 +1,275 @@
+//! The seven rules, checked on what both sides see.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// What happens, as the checker is told.
+#[derive(Debug, Clone)]
+pub enum Seen {
+    /// A client asks a front: a try, of a batch.
+    Asked {
+        front: usize,
+        id: u64,
+        batch: u64,
+        group: usize,
+        key: Option<u64>,
+        limit: Duration,
+    },
+    /// The one answer to a try.
+    Answered {
+        id: u64,
+    },
+    /// The client left before its answer.
+    Left {
+        id: u64,
+    },
+    /// A front sends a batch to an engine.
+    Sent {
+        front: usize,
+        id: u64,
+        number: u32,
+        engine: usize,
+        work: f64,
+    },
+    /// A dispatch is over for its front; `may_have_run` as far as the front can know.
+    Over {
+        id: u64,
+        may_have_run: bool,
+    },
+    /// The engine really began to run it.
+    Ran {
+        batch: u64,
+    },
+    Draining {
+        engine: usize,
+    },
+    /// An engine started, cold, with so many cores.
+    Started {
+        engine: usize,
+        cores: f64,
+    },
+    /// A front knows nothing any more of what it had.
+    Forgot {
+        front: usize,
+    },
+}
+
+/// A rule that was broken, and what broke it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Broken {
+    pub rule: u8,
+    pub at: Duration,
+    pub what: String,
+}
+
+/// What the rules depend on.
+#[derive(Debug, Clone, Default)]
+pub struct Terms {
+    pub drain_grace: Duration,
+    pub cold_for: Duration,
+    pub cold_from: f64,
+    pub fall_multiple: f64,
+    pub fall_after: Duration,
+    pub once_only: Vec<bool>,
+    /// Locations that a service group may go to, and where each engine stands.
+    pub locations: Vec<Option<Vec<u32>>>,
+    pub places: Vec<u32>,
+    pub budget: Option<(f64, f64)>,
+    pub slack: Duration,
+}
+
+#[derive(Debug)]
+struct Try {
+    front: usize,
+    batch: u64,
+    group: usize,
+    key: Option<u64>,
+    limit: Duration,
+    answered: bool,
+    out: u32,
+    may_have_run: bool,
+}
+
+/// When an engine started, its cores, and work sent there lately.
+type Cold = (Duration, f64, VecDeque<(Duration, f64)>);
+
+/// Hears everything, in order, and keeps what is broken.
+#[derive(Debug, Default)]
+pub struct Checker {
+    terms: Terms,
+    tries: BTreeMap<u64, Try>,
+    ran: BTreeMap<u64, u32>,
+    draining: BTreeMap<usize, Duration>,
+    cold: BTreeMap<usize, Cold>,
+    /// By front: arrivals and further dispatches lately.
+    budgets: BTreeMap<usize, (VecDeque<Duration>, VecDeque<Duration>)>,
+    /// By front and key: tries in the order taken.
+    lanes: BTreeMap<(usize, u64), VecDeque<u64>>,
+    pub broken: Vec<Broken>,
+}
+
+const SPAN: Duration = Duration::from_secs(10);
+
+impl Checker {
+    pub fn new(terms: Terms) -> Checker {
+        Checker { terms, ..Checker::default() }
+    }
+
+    fn say(&mut self, rule: u8, at: Duration, what: String) {
+        if self.broken.len() < 100 {
+            self.broken.push(Broken { rule, at, what });
+        }
+    }
+
+    pub fn see(&mut self, now: Duration, seen: Seen) {
+        match seen {
+            Seen::Asked { front, id, batch, group, key, limit } => {
+                self.budgets.entry(front).or_default().0.push_back(now);
+                if let Some(key) = key {
+                    self.lanes.entry((front, key)).or_default().push_back(id);
+                }
+                let held =
+                    Try { front, batch, group, key, limit, answered: false, out: 0, may_have_run: false };
+                self.tries.insert(id, held);
+            }
+            Seen::Answered { id } => {
+                let Some(held) = self.tries.get_mut(&id) else {
+                    return self.say(1, now, format!("an answer to nothing asked, {id}"));
+                };
+                let (again, late) =
+                    (std::mem::replace(&mut held.answered, true), now > held.limit + self.terms.slack);
+                if again {
+                    self.say(1, now, format!("try {id} is answered again"));
+                } else if late {
+                    self.say(1, now, format!("try {id} is answered late"));
+                }
+                self.leave_lane(id);
+            }
+            Seen::Left { id } => {
+                if let Some(held) = self.tries.get_mut(&id) {
+                    held.answered = true;
+                }
+                self.leave_lane(id);
+            }
+            Seen::Sent { front, id, number, engine, work } => self.sent(now, front, id, number, engine, work),
+            Seen::Over { id, may_have_run } => {
+                if let Some(held) = self.tries.get_mut(&id) {
+                    held.out = held.out.saturating_sub(1);
+                    held.may_have_run |= may_have_run;
+                }
+            }
+            Seen::Ran { batch } => {
+                let count = self.ran.entry(batch).or_default();
+                *count += 1;
+                if *count > 1 {
+                    let once = self.tries.values().find(|held| held.batch == batch);
+                    if once.is_some_and(|held| self.terms.once_only[held.group]) {
+                        self.say(2, now, format!("batch {batch} runs again"));
+                    }
+                }
+            }
+            Seen::Draining { engine } => drop(self.draining.insert(engine, now)),
+            Seen::Started { engine, cores } => {
+                self.draining.remove(&engine);
+                self.cold.insert(engine, (now, cores, VecDeque::new()));
+            }
+            Seen::Forgot { front } => {
+                self.lanes.retain(|(held, _), _| *held != front);
+                self.tries
+                    .values_mut()
+                    .filter(|held| held.front == front)
+                    .for_each(|held| held.answered = true);
+            }
+        }
+    }
+
+    fn leave_lane(&mut self, id: u64) {
+        let Some(held) = self.tries.get(&id) else { return };
+        if let Some(lane) = held.key.and_then(|key| self.lanes.get_mut(&(held.front, key))) {
+            lane.retain(|other| *other != id);
+        }
+    }
+
+    fn sent(&mut self, now: Duration, front: usize, id: u64, number: u32, engine: usize, work: f64) {
+        let Some(held) = self.tries.get_mut(&id) else {
+            return self.say(1, now, format!("{id} is sent and was not asked"));
+        };
+        let mut found: Vec<(u8, String)> = Vec::new();
+        if held.answered {
+            found.push((1, format!("try {id} is sent after its answer")));
+        }
+        if self.terms.once_only[held.group] && (held.may_have_run || held.out > 0) {
+            found.push((2, format!("try {id} must run once and is sent again")));
+        }
+        if held.out > 0 {
+            found.push((2, format!("try {id} is out twice at once")));
+        }
+        held.out += 1;
+        let (group, key) = (held.group, held.key);
+        if let Some(at) = self.draining.get(&engine)
+            && now > *at + self.terms.drain_grace + self.terms.slack
+        {
+            found.push((3, format!("engine {engine} drains and is sent {id}")));
+        }
+        if let Some((started, cores, sent)) = self.cold.get_mut(&engine)
+            && now < *started + self.terms.cold_for
+        {
+            {
+                while sent.front().is_some_and(|(at, _)| *at + self.terms.fall_after <= now) {
+                    sent.pop_front();
+                }
+                sent.push_back((now, work));
+                let bears = self.terms.fall_multiple
+                    * self.terms.cold_from
+                    * *cores
+                    * self.terms.fall_after.as_secs_f64();
+                let all: f64 = sent.iter().map(|(_, work)| work).sum();
+                // One batch alone may be more than it bears; that is nobody's doing.
+                if all > bears && sent.len() > 1 {
+                    found
+                        .push((4, format!("engine {engine} is cold, bears {bears:.1} and is sent {all:.1}")));
+                }
+            }
+        }
+        if let Some(key) = key
+            && let Some(first) = self.lanes.get(&(front, key)).and_then(|lane| lane.front())
+            && *first != id
+        {
+            found.push((5, format!("{id} of key {key} overtakes {first}")));
+        }
+        let place = self.terms.places[engine];
+        if self.terms.locations[group].as_ref().is_some_and(|allowed| !allowed.contains(&place)) {
+            found.push((6, format!("{id} goes to location {place}")));
+        }
+        if number > 0
+            && let Some((free, share)) = self.terms.budget
+        {
+            let (arrivals, further) = self.budgets.entry(front).or_default();
+            for dates in [&mut *arrivals, &mut *further] {
+                while dates.front().is_some_and(|at| *at + SPAN < now) {
+                    dates.pop_front();
+                }
+            }
+            further.push_back(now);
+            let allowed = free + share * arrivals.len() as f64;
+            let count = further.len() as f64;
+            if count > allowed + 1.0 {
+                found.push((7, format!("front {front} sends {count} further ones of {allowed:.1}")));
+            }
+        }
+        for (rule, what) in found {
+            self.say(rule, now, what);
+        }
+    }
+
+    /// All is over: every try had its answer.
+    pub fn end(&mut self, now: Duration) {
+        let open: Vec<u64> = (self.tries.iter())
+            .filter(|(_, held)| !held.answered && held.limit + self.terms.slack < now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in open {
+            self.say(1, now, format!("try {id} had no answer"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/engine.rs
@@ -0,0 +1,91 @@
+//! One engine: it runs all that it is sent at once, and everything it runs shares its cores and memory.
+
+use std::collections::BTreeMap;
+
+/// A batch as it runs.
+#[derive(Debug, Clone)]
+pub struct Work {
+    /// Work of all its threads that is left, in seconds.
+    pub left: f64,
+    pub threads: f64,
+    pub memory_mb: f64,
+    pub tables: u64,
+    pub load: bool,
+    /// It stands still while a load holds its table group.
+    pub waits_for_loads: bool,
+}
+
+/// What has come to its end, by the number it was put under.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Finished(pub u64);
+
+#[derive(Debug, Clone)]
+pub struct Engine {
+    pub cores: f64,
+    pub memory_mb: f64,
+    pub loss: f64,
+    /// How many times slower it works for now.
+    pub slow: f64,
+    running: BTreeMap<u64, Work>,
+}
+
+impl Engine {
+    pub fn new(cores: f64, memory_mb: f64, loss: f64) -> Engine {
+        Engine { cores, memory_mb, loss, slow: 1.0, running: BTreeMap::new() }
+    }
+
+    pub fn put(&mut self, number: u64, work: Work) {
+        self.running.insert(number, work);
+    }
+
+    pub fn cancel(&mut self, number: u64) -> bool {
+        self.running.remove(&number).is_some()
+    }
+
+    pub fn len(&self) -> usize {
+        self.running.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.running.is_empty()
+    }
+
+    pub fn clear(&mut self) {
+        self.running.clear();
+    }
+
+    /// Threads that want to run, over the cores.
+    pub fn strain(&self) -> f64 {
+        self.running.values().map(|work| work.threads).sum::<f64>() / self.cores
+    }
+
+    /// Runs for a while at this part of its full speed, and says what has finished.
+    pub fn run(&mut self, seconds: f64, warmth: f64) -> Vec<Finished> {
+        let held: Vec<u64> = self.running.values().filter(|w| w.load).map(|w| w.tables).collect();
+        let stands = |work: &Work| work.waits_for_loads && held.contains(&work.tables);
+        let moving = self.running.values().filter(|work| !stands(work));
+        let threads: f64 = moving.map(|work| work.threads).sum();
+        if threads <= 0.0 {
+            return Vec::new();
+        }
+        let strain = threads / self.cores;
+        // Past as many threads as cores, each shares, and part of the work is lost.
+        let share = if strain > 1.0 { 1.0 / (strain * (1.0 + self.loss * (strain - 1.0))) } else { 1.0 };
+        let wanted: f64 = self.running.values().map(|work| work.memory_mb).sum();
+        let paging = if wanted > self.memory_mb { (self.memory_mb / wanted).powi(2) } else { 1.0 };
+        let speed = share * paging * warmth / self.slow.max(1e-9);
+        let mut finished = Vec::new();
+        for (number, work) in &mut self.running {
+            if !(work.waits_for_loads && held.contains(&work.tables)) {
+                work.left -= work.threads * speed * seconds;
+                if work.left <= 0.0 {
+                    finished.push(Finished(*number));
+                }
+            }
+        }
+        for Finished(number) in &finished {
+            self.running.remove(number);
+        }
+        finished
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/world.rs
@@ -0,0 +1,228 @@
+use lemonusher::{Deployment, DispatchBudget, Duties, Effect, Machine, Permits, ServiceTerms};
+use serde::Deserialize;
+use std::fmt;
+use std::time::Duration;
+
+/// What one file states.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct World {
+    pub seconds: f64,
+    pub fronts: u32,
+    /// Batches a second, over all fronts.
+    pub per_second: f64,
+    /// Share of clients that ask again after they were pushed back.
+    #[serde(default)]
+    pub ask_again: f64,
+    /// Times the load between these seconds.
+    #[serde(default)]
+    pub surge: Option<Surge>,
+    #[serde(default = "World::drain_grace")]
+    pub drain_grace: f64,
+    #[serde(default = "World::cold_for")]
+    pub cold_for: f64,
+    #[serde(default = "World::cold_from")]
+    pub cold_from: f64,
+    /// Further dispatches allowed: so many, and so many a batch, in ten seconds.
+    #[serde(default)]
+    pub budget: Option<(f64, f64)>,
+    pub engines: Vec<EngineKind>,
+    pub groups: Vec<Group>,
+    #[serde(default)]
+    pub failures: Vec<Failure>,
+}
+
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Surge {
+    pub from: f64,
+    pub to: f64,
+    pub times: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineKind {
+    pub count: u32,
+    #[serde(default)]
+    pub location: u32,
+    pub cores: f64,
+    pub memory_mb: f64,
+    /// Part of the work that is lost for each time over that threads outnumber cores.
+    #[serde(default = "EngineKind::loss")]
+    pub loss: f64,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Group {
+    pub name: String,
+    /// Part of the batches.
+    pub share: f64,
+    /// Work of all threads, in seconds: the mean of an exponential.
+    pub work: f64,
+    pub threads: f64,
+    pub memory_mb: f64,
+    pub goal: f64,
+    pub limit: f64,
+    #[serde(default)]
+    pub once_only: bool,
+    #[serde(default)]
+    pub load: bool,
+    /// Batches of one key run in turn; so many keys.
+    #[serde(default)]
+    pub keys: u64,
+    pub tables: u64,
+    #[serde(default)]
+    pub locations: Option<Vec<u32>>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub struct Failure {
+    pub at: f64,
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// What is done to an engine or a front, by number from zero.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "what", deny_unknown_fields)]
+pub enum What {
+    /// The engine dies with all that it runs, and starts cold after this time.
+    Kill { engine: usize, back: f64 },
+    /// It answers nothing for a while; what it runs goes on.
+    Silent { engine: usize, back: f64 },
+    /// It works so many times slower for a while.
+    Slow { engine: usize, times: f64, back: f64 },
+    /// It is told to go, and is gone after the grace; a new one starts cold after this time.
+    Drain { engine: usize, back: f64 },
+    /// All engines of a location die.
+    Hall { location: u32, back: f64 },
+    /// The front starts over and knows nothing but the list.
+    Restart { front: usize },
+}
+
+/// Why a file is no world.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WorldError {
+    pub line: Option<usize>,
+    pub what: String,
+}
+
+impl fmt::Display for WorldError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self.line {
+            Some(line) => write!(f, "line {line}: {}", self.what),
+            None => f.write_str(&self.what),
+        }
+    }
+}
+
+impl EngineKind {
+    fn loss() -> f64 {
+        0.15
+    }
+}
+
+pub(crate) fn span(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds.max(0.0))
+}
+
+impl World {
+    fn drain_grace() -> f64 {
+        2.0
+    }
+
+    fn cold_for() -> f64 {
+        14.0
+    }
+
+    fn cold_from() -> f64 {
+        0.34
+    }
+
+    pub fn parse(text: &str) -> Result<World, WorldError> {
+        let world: World = toml::from_str(text).map_err(|error| WorldError {
+            line: error.span().map(|span| text[..span.start].matches('\n').count() + 1),
+            what: error.message().split_whitespace().collect::<Vec<_>>().join(" "),
+        })?;
+        let wrong = |what: &str| Err(WorldError { line: None, what: what.to_owned() });
+        let engines: u32 = world.engines.iter().map(|kind| kind.count).sum();
+        if world.groups.is_empty() || engines == 0 || world.fronts == 0 {
+            return wrong("a world has a front, an engine and a service group at least");
+        }
+        let shares: f64 = world.groups.iter().map(|group| group.share).sum();
+        if (shares - 1.0).abs() > 1e-6 {
+            return wrong("the shares of the service groups come to 1");
+        }
+        let positive = world.groups.iter().all(|g| g.work > 0.0 && g.threads > 0.0 && g.limit > 0.0);
+        if !(positive && world.seconds > 0.0 && world.per_second > 0.0) {
+            return wrong("times, work, threads and rates are above zero");
+        }
+        for failure in &world.failures {
+            let fits = match failure.what {
+                What::Kill { engine, .. }
+                | What::Silent { engine, .. }
+                | What::Slow { engine, .. }
+                | What::Drain { engine, .. } => engine < engines as usize,
+                What::Hall { location, .. } => world.engines.iter().any(|kind| kind.location == location),
+                What::Restart { front } => front < world.fronts as usize,
+            };
+            if !fits {
+                return wrong("a failure names an engine, location or front that there is not");
+            }
+        }
+        Ok(world)
+    }
+
+    /// What the fronts are told.
+    pub fn deployment(&self, number: u32) -> Deployment {
+        let terms = |group: &Group| ServiceTerms {
+            response_goal: span(group.goal),
+            stretch: 1.5,
+            time_limit: span(group.limit),
+            utility: 1.0,
+            late_share: 0.5,
+            effect: if group.once_only { Effect::OnceOnly } else { Effect::Repeatable },
+            ordered: group.keys > 0,
+            locations: group.locations.clone(),
+            threads: group.threads,
+            load: group.load,
+            waits_for_loads: !group.load,
+            ..ServiceTerms::default()
+        };
+        let machine = |kind: &EngineKind| Machine { cores: kind.cores, memory_mb: kind.memory_mb };
+        Deployment {
+            fronts: self.fronts,
+            number,
+            service_groups: self.groups.iter().map(terms).collect(),
+            machines: self.engines.iter().map(machine).collect(),
+            tick: Duration::from_millis(5),
+            permits: Permits {
+                cancel: true,
+                come_back: true,
+                longest_come_back: Duration::from_secs(2),
+                most_dispatches: 4,
+                connect_timeout: Duration::from_millis(250),
+                ..Permits::default()
+            },
+            duties: Duties {
+                drain_grace: span(self.drain_grace),
+                cold_from: self.cold_from,
+                cold_for: span(self.cold_for),
+                fall_multiple: 3.0,
+                fall_after: Duration::from_millis(1500),
+                settle_after_doubt: Duration::from_millis(700),
+                ask_within: Duration::from_secs(10),
+                budget: self.budget.map(|(free, share)| DispatchBudget {
+                    free,
+                    share,
+                    span: Duration::from_secs(10),
+                }),
+            },
+            note_period: Duration::from_secs(1),
+            repeats_marked: true,
+            ..Deployment::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/tests/emulator.rs
@@ -0,0 +1,73 @@
+//! The model holds its own invariants; the checker finds nothing in honest fronts and each fault in faulty ones.
+
+use lemonusher_emulator::{Engine, Fault, Finished, Work, World, play};
+
+const MORNING: &str = include_str!("../worlds/morning.toml");
+
+fn work(left: f64, threads: f64, memory_mb: f64, load: bool) -> Work {
+    Work { left, threads, memory_mb, tables: 1, load, waits_for_loads: !load }
+}
+
+#[test]
+fn engines_share_cores_lose_work_past_the_knee_and_page_past_their_memory() {
+    let until = |engine: &mut Engine, number: u64| {
+        (1..).find(|_| engine.run(0.01, 1.0).contains(&Finished(number))).unwrap() as f64 * 0.01
+    };
+    let alone = |batches: u64, memory: f64| {
+        let mut engine = Engine::new(4.0, 1000.0, 0.2);
+        (0..batches).for_each(|number| engine.put(number, work(1.0, 1.0, memory, false)));
+        until(&mut engine, batches - 1)
+    };
+    let (one, full, twice, paging) = (alone(1, 10.0), alone(4, 10.0), alone(8, 10.0), alone(4, 500.0));
+    assert!((one - 1.0).abs() < 0.02 && (full - 1.0).abs() < 0.02, "{one} {full}");
+    assert!((twice - 2.4).abs() < 0.05, "{twice}"); // Twice as long, and a fifth lost.
+    assert!((paging - 4.0).abs() < 0.1, "{paging}"); // Twice the memory: a quarter of the speed.
+    let mut engine = Engine::new(4.0, 1000.0, 0.2);
+    engine.put(1, work(0.5, 1.0, 1.0, true));
+    engine.put(2, work(0.1, 1.0, 1.0, false));
+    assert!((until(&mut engine, 2) - 0.6).abs() < 0.03); // It stood still while the load held its tables.
+    assert!(engine.is_empty());
+}
+
+#[test]
+fn the_same_seed_gives_the_same_run_to_the_last_event() {
+    let world = World::parse(MORNING).unwrap();
+    let (a, b, c) =
+        (play(&world, 7, Fault::None), play(&world, 7, Fault::None), play(&world, 8, Fault::None));
+    assert_eq!(a, b);
+    assert_ne!(a.digest, c.digest);
+    assert!(a.asked > 1500 && a.returned * 10 > a.asked * 7, "{} of {}", a.returned, a.asked);
+    assert!(a.dispatches > a.returned && a.errored > 0 && a.pushed_back > 0);
+}
+
+#[test]
+fn honest_fronts_break_no_rule_and_each_fault_is_seen() {
+    let world = World::parse(MORNING).unwrap();
+    for seed in 1..=5 {
+        let report = play(&world, seed, Fault::None);
+        assert!(report.broken.is_empty(), "seed {seed}: {:?}", &report.broken[..report.broken.len().min(5)]);
+    }
+    for (fault, rule) in [
+        (Fault::AnswersTwice, 1),
+        (Fault::SendsAgain, 2),
+        (Fault::HidesDrains, 3),
+        (Fault::HidesColds, 4),
+        (Fault::ForgetsKeys, 5),
+        (Fault::ForgetsPlaces, 6),
+        (Fault::ForgetsBudget, 7),
+    ] {
+        let seen =
+            (1..=5).any(|seed| play(&world, seed, fault).broken.iter().any(|broken| broken.rule == rule));
+        assert!(seen, "{fault:?} is not seen");
+    }
+}
+
+#[test]
+fn a_file_that_is_no_world_says_where() {
+    let error = World::parse("seconds = 1\nfronts = 1\nper_secnd = 3\n").unwrap_err();
+    assert!(error.line == Some(3) && error.what.contains("per_second"), "{error}");
+    let error = World::parse(&MORNING.replace("share = 0.75", "share = 0.7")).unwrap_err();
+    assert!(error.what.contains("come to 1"));
+    let error = World::parse(&MORNING.replace("engine = 1", "engine = 77")).unwrap_err();
+    assert!(error.what.contains("there is not"), "{error}");
+}
