Proof that users come in by TLS, password and SSH key, and do what they may

Change: a test runs a front with a certificate and two users: one that writes, one that reads; wrong passwords, a stranger's key and plain text are kept out.

--- a/crates/cli/tests/managers/mod.rs
+++ b/crates/cli/tests/managers/mod.rs
@@ -67,11 +67,17 @@
         told.display().to_string(),
         folder.unwrap_or_default(),
     );
-    let path = file("toml", &text);
+    let world = run_file(&text, commands);
+    let _ = std::fs::remove_file(told);
+    world
+}
+
+/// Runs a front by an operator's file that opens both doors.
+pub fn run_file(text: &str, commands: Commands) -> World {
+    let path = file("toml", text);
     let mut command = Command::new(env!("CARGO_BIN_EXE_lemonusher"));
     command.arg("run").arg(&path);
     let front = Front::spawn(command, path);
-    let _ = std::fs::remove_file(told);
     let address = |what: &str| front.said_at_start(what).and_then(|text| text.parse().ok()).expect(what);
     World { gnmi: address("gNMI at"), netconf: address("NETCONF at"), front, _commands: commands }
 }
@@ -179,7 +185,7 @@
 
 // NETCONF.
 
-struct Trusting;
+pub struct Trusting;
 
 impl client::Handler for Trusting {
     type Error = russh::Error;
--- a/crates/cli/tests/proof_managed.rs
+++ b/crates/cli/tests/proof_managed.rs
@@ -611,3 +611,84 @@
         println!("proof: hostile input {refused} kinds refused, {beyond} sessions beyond the bound, state as before");
     });
 }
+
+#[test]
+fn users_come_in_by_their_keys_over_tls_and_do_what_they_may() {
+    use lemonusher_managed::gnmi::proto::gnmi::g_nmi_client::GNmiClient;
+    use lemonusher_managed::gnmi::proto::gnmi::{CapabilityRequest, SetRequest};
+    use lemonusher_standin::file;
+    use russh::client;
+    use russh::keys::{Algorithm, PrivateKey, PrivateKeyWithHashAlg};
+    use tonic::transport::{Certificate, ClientTlsConfig, Endpoint};
+
+    let commands = Commands::start();
+    let made = rcgen::generate_simple_self_signed(vec!["front.test".to_owned()]).unwrap();
+    let (certificate, key) = (made.cert.pem(), made.signing_key.serialize_pem());
+    let ssh = Arc::new(PrivateKey::random(&mut rand::rng(), Algorithm::Ed25519).unwrap());
+    let stranger = Arc::new(PrivateKey::random(&mut rand::rng(), Algorithm::Ed25519).unwrap());
+    let files = [
+        file("json", &told(&[], commands.address).to_string()),
+        file("pem", &certificate),
+        file("key", &key),
+        file("password", "open sesame\n"),
+    ];
+    let [told, pem, key, password] = files.each_ref().map(|path| format!("{:?}", path.display().to_string()));
+    let public = ssh.public_key().to_openssh().unwrap();
+    let text = format!(
+        "[front]\ntold = {told}\n[managed.gnmi]\nlisten = \"127.0.0.1:0\"\ncertificate = {pem}\nkey = {key}\n\
+         [managed.netconf]\nlisten = \"127.0.0.1:0\"\n[[managed.users]]\nname = \"ops\"\nmay = \"write\"\n\
+         ssh_key = \"{public}\"\npassword_file = {password}\n[[managed.users]]\nname = \"desk\"\npassword_file = {password}\n"
+    );
+    let world = run_file(&text, commands);
+    files.iter().for_each(|path| drop(std::fs::remove_file(path)));
+    runtime().block_on(async {
+        let tls = ClientTlsConfig::new()
+            .ca_certificate(Certificate::from_pem(&certificate))
+            .domain_name("front.test");
+        let endpoint = Endpoint::from_shared(format!("https://{}", world.gnmi)).unwrap();
+        let mut gnmi = GNmiClient::new(endpoint.tls_config(tls).unwrap().connect().await.unwrap());
+        let as_user = |user: &str, password: &str| {
+            let mut metadata = tonic::metadata::MetadataMap::new();
+            metadata.insert("username", user.parse().unwrap());
+            metadata.insert("password", password.parse().unwrap());
+            metadata
+        };
+        let mut codes = Vec::new();
+        for (user, password) in
+            [("ops", "open sesame"), ("desk", "open sesame"), ("ops", "wrong"), ("none", "")]
+        {
+            let metadata = as_user(user, password);
+            let read = tonic::Request::from_parts(
+                metadata.clone(),
+                Default::default(),
+                CapabilityRequest::default(),
+            );
+            let set =
+                SetRequest { update: vec![update("/front/log-level", &json!("warn"))], ..Default::default() };
+            let write = tonic::Request::from_parts(metadata, Default::default(), set);
+            let code = |status: Option<tonic::Status>| status.map_or(Code::Ok, |status| status.code());
+            codes.push((code(gnmi.capabilities(read).await.err()), code(gnmi.set(write).await.err())));
+        }
+        let refused = (Code::Unauthenticated, Code::Unauthenticated);
+        assert_eq!(codes, [(Code::Ok, Code::Ok), (Code::Ok, Code::PermissionDenied), refused, refused]);
+        // Without TLS nobody is heard.
+        let plain = Endpoint::from_shared(format!("http://{}", world.gnmi)).unwrap().connect().await;
+        if let Ok(channel) = plain {
+            assert!(GNmiClient::new(channel).capabilities(CapabilityRequest::default()).await.is_err());
+        }
+        let mut let_in = Vec::new();
+        for (user, key) in [("ops", &ssh), ("ops", &stranger), ("desk", &ssh)] {
+            let config = Arc::new(client::Config::default());
+            let mut handle = client::connect(config, world.netconf, Trusting).await.unwrap();
+            assert!(!handle.authenticate_none(user).await.unwrap().success());
+            let key = PrivateKeyWithHashAlg::new(key.clone(), None);
+            let_in.push(handle.authenticate_publickey(user, key).await.unwrap().success());
+        }
+        assert_eq!(let_in, [true, false, false]);
+        println!(
+            "proof: users {} of gNMI over TLS and {} of NETCONF, each let in and kept out as the file says",
+            codes.len(),
+            let_in.len()
+        );
+    });
+}
