The test of noise asks that the door hangs up

Cause: read again, the count of refused noise was one whatever the door did: a check that can't fail.

Change: after a megabyte of noise the test reads to the connection's end; a door that goes on in silence fails it.

--- a/crates/cli/tests/proof_managed.rs
+++ b/crates/cli/tests/proof_managed.rs
@@ -14,7 +14,7 @@
 use managers::*;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -543,7 +543,18 @@
         let mut refused = 0;
         for address in [world.gnmi, world.netconf] {
             let mut wire = TcpStream::connect(address).unwrap();
-            refused += u32::from(wire.write_all(&noise).is_err() || wire.flush().is_ok());
+            // The door hangs up: its last bytes, if any, are followed by an end or a reset, and not by silence.
+            wire.set_read_timeout(Some(LONG)).unwrap();
+            let _ = wire.write_all(&noise);
+            let ended = loop {
+                match wire.read(&mut [0; 4096]) {
+                    Ok(0) => break true,
+                    Ok(_) => {}
+                    Err(error) => break error.kind() != std::io::ErrorKind::WouldBlock,
+                }
+            };
+            assert!(ended, "{address} goes on after noise");
+            refused += 1;
         }
         // Noise within a session ends it.
         let mut manager = Netconf::connect(world.netconf).await;
