--- a/review/common/ext_proc.py
+++ b/review/common/ext_proc.py
@@ -71,8 +71,13 @@
     return field(2, http_headers(headers))
 
 
-def response_headers(headers):
-    return field(3, http_headers(headers))
+def response_headers(headers, details=None):
+    """The response's headers; with the proxy's response code details, if the proxy made the response itself."""
+    message = field(3, http_headers(headers))
+    if details:
+        value = field(1, field(1, b"response.code_details") + field(2, field(3, details.encode())))
+        message += field(9, field(1, b"envoy.filters.http.ext_proc") + field(2, value))
+    return message
 
 
 class Verdict:
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -164,9 +164,26 @@
         self.task = None
 
 
+class Lag:
+    """The longest time for which this program itself was late."""
+
+    def __init__(self):
+        self.most = 0.0
+
+    async def watch(self):
+        while True:
+            before = time.monotonic()
+            await asyncio.sleep(0.01)
+            self.most = max(self.most, time.monotonic() - before - 0.01)
+
+
 class Engine:
     """A query engine: it runs all that it is sent at once; work slows down once its cores are taken."""
 
+    notes_every = 0  # seconds between notes of progress
+    tells_cost = True
+    sessions_per_core = 8
+
     def __init__(self, number, zone, kind, cores, groups, record, started_ms=0):
         self.id, self.zone, self.kind, self.cores = number, zone, kind, cores
         self.cell, self.state, self.started_ms = number % 4, READY, started_ms
@@ -193,8 +210,8 @@
 
     def load(self):
         threads = sum(run.threads for run in self.running.values())
-        return f"inflight:{len(self.running)};x1:{min(1, threads / self.cores / 2):.2f};x0:" \
-               f"{min(1, threads / self.cores / 3):.2f}"
+        return f"util:{min(1, threads / self.cores):.2f};inflight:{len(self.running)};" \
+               f"x1:{min(1, threads / self.cores / 2):.2f};x0:{min(1, threads / self.cores / 3):.2f}"
 
     async def serve(self, reader, writer):
         import socket
@@ -238,6 +255,10 @@
 
     def begin(self, request, fields, statement, at, writer):
         group = self.groups[fields["queue"]]
+        if len(self.running) >= self.sessions_per_core * self.cores:
+            self.record.line(f"engine {self.id:08x}: SHED {request}", at)
+            writer.write(f"{request} SHED use={self.load()} 0\r\n\r\n".encode())
+            return
         self.attempts.append((at, request, fields["queue"]))
         self.record.line(f"engine {self.id:08x}: serve {request} {fields['queue']} budget {fields['budget']}", at)
         work = self.work_of(group, statement)
@@ -246,8 +267,13 @@
         run.task = asyncio.ensure_future(self.work(run, work, writer))
 
     async def work(self, run, work, writer):
-        left = work / run.threads
+        whole = left = work / run.threads
+        note = time.time() + self.notes_every
         while left > 0:
+            if self.notes_every and time.time() >= note and not writer.is_closing():
+                note += self.notes_every
+                share = f"detail=advance,figure={1 - left / whole:.3f}"
+                writer.write(f"{run.request} INFO {share} 0\r\n\r\n".encode())
             threads = sum(other.threads for other in self.running.values())
             pace = min(1, self.cores / max(threads, 1))
             step = min(left / pace, 0.05)
@@ -257,7 +283,8 @@
         if writer.is_closing():
             return
         body = f"{run.request}\tdone\t1\n".encode()
-        fields = f"fetches=1,effort={work * 1000:.0f},high=100,use={self.load()}"
+        cost = f"effort={work * 1000:.0f},high=100," if self.tells_cost else ""
+        fields = f"fetches=1,{cost}use={self.load()}"
         try:
             writer.write(f"{run.request} HIT {fields} {len(body)}\r\n".encode() + body + b"\r\n")
             self.record.line(f"engine {self.id:08x}: HIT {run.request}")
@@ -295,6 +322,17 @@
         self.record.line(f"client of {self.front.name}: {group} {request} time-out {timeout_ms} ms", at)
         return request
 
+    def revoke(self, request):
+        """The client stops waiting. Returns the time at which it has gone, None if it has its answer."""
+        number = next((number for number, open_request in self.open.items() if open_request == request), None)
+        if number is None:
+            return None
+        del self.open[number]
+        self.writer.write(json.dumps({"jsonrpc": "2.0", "method": "revoke", "params": {"id": number}}).encode() + b"\n")
+        at = time.time()
+        self.record.line(f"client of {self.front.name}: has left {request}", at)
+        return at
+
     async def read(self):
         try:
             while True:
