--- a/review/1/case.py
+++ b/review/1/case.py
@@ -42,7 +42,7 @@
             # Both engines hold the data set: a third load of it has to wait, and is pushed back in time.
             batch = f"third-{number}"
             status, history = await proxy.request(batch, LOAD, own)
-            record.line(f"client: load {batch}: {status} {history[-1]}")
+            record.line(f"client: load {batch}: {status} {history[-1] if history else ''}")
             pushed_back += history == ["pushed-back"]
             await asyncio.gather(*first)
             await asyncio.sleep(WAIT)
