Review: the scripts end all that they started, however they end

Cause: a script that was ended from outside, or failed while it started fronts, could leave some running. Change: one runner for all cases: a time limit, a clean end on signals, and processes that the system ends with the script.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,13 +4,11 @@
 import os
 import random
 import sys
-import tempfile
-import traceback
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 from proxies import HttpEngine, Proxy, send_lookups, start_processors
-from standins import Record
+from standins import run_case
 
 FOLDER = Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -76,14 +74,4 @@
             record.line(f"processor {front.name} ended")
 
 
-with tempfile.TemporaryDirectory(prefix="review-") as temporary:
-    record = Record(FOLDER)
-    code = 2
-    try:
-        code = asyncio.run(main(temporary, record))
-    except Exception as error:  # The case couldn't run.
-        record.line(f"{type(error).__name__}: {error}")
-        traceback.print_exc()
-    finally:
-        record.close()
-sys.exit(code)
+run_case(main, FOLDER)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import random
@@ -12,7 +13,9 @@
 import struct
 import subprocess
 import sys
+import tempfile
 import time
+import traceback
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -20,6 +23,56 @@
 STATE_NAMES = ["Ready", "Terminating", "Gone"]
 
 
+LONGEST = 112  # seconds after which a case is ended; a script may run for 120
+STARTED = []  # all processes that this script has started
+LIBC = ctypes.CDLL(None)
+
+
+def end_with_script():
+    """Runs in each new process: the system ends it if this script ends in whatever way, SIGKILL included."""
+    LIBC.prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
+
+
+async def run_command_line(*arguments):
+    """Runs a command of the operators to its end. Returns the exit code and what it printed."""
+    process = await asyncio.create_subprocess_exec(
+        *[str(argument) for argument in arguments], stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE,
+        preexec_fn=end_with_script)
+    try:
+        out, error = await process.communicate()
+    finally:
+        if process.returncode is None:
+            process.kill()
+    return process.returncode, out.decode(), error.decode()
+
+
+def run_case(main, folder):
+    """Runs `main(temporary folder, record)`, ends all processes that it started, and exits with its code."""
+    async def guarded(temporary, record):
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        async with asyncio.timeout(LONGEST):
+            return await main(temporary, record)
+
+    code = 2
+    with tempfile.TemporaryDirectory(prefix="review-") as temporary:
+        record = Record(folder)
+        try:
+            code = asyncio.run(guarded(temporary, record))
+        except (Exception, asyncio.CancelledError) as error:  # The case couldn't run.
+            record.line(f"{type(error).__name__}: {error}")
+            traceback.print_exc()
+        finally:
+            for process in STARTED:
+                if process.poll() is None:
+                    process.kill()  # also ends a stopped process
+                process.wait()
+            record.line(f"all {len(STARTED)} processes that were started have ended; exit code {code}")
+            record.close()
+    sys.exit(code)
+
+
 class Record:
     """Writes what was sent, answered and run to record.txt."""
 
@@ -56,7 +109,8 @@
                        "TMPDIR": str(folder)}
         self.log = open(Path(folder) / f"{name}.log", "wb")
         self.process = subprocess.Popen(["/bin/sh", "-c", command or run_command()], cwd=ROOT, env=environment,
-                                        stdout=self.log, stderr=self.log)
+                                        stdout=self.log, stderr=self.log, preexec_fn=end_with_script)
+        STARTED.append(self.process)
         record.line(f"front {name} started, process {self.process.pid}")
 
     def write_config(self):
@@ -368,5 +422,4 @@
         except (ConnectionError, asyncio.TimeoutError, json.JSONDecodeError):
             pass
         await asyncio.sleep(0.05)
-    print("a front was not ready in time")
-    sys.exit(2)
+    raise RuntimeError("a front was not ready in time")
