--- a/review/common/proxies.py
+++ b/review/common/proxies.py
@@ -122,7 +122,7 @@
     names = [("look-up", "safe", 5, 1000000), ("report", "safe", 20, 3000000), ("load", "unsafe", 20, 4000000)]
     return {
         "areas": ["east-hall", "west-hall"], "kinds": ["std-8"], "balancers": count, "my_number": number,
-        "zone": number, "tick_us": 5000, "discovery": "pushed", "client_habits": {"marks_retry": True},
+        "zone": number % 2, "tick_us": 5000, "discovery": "pushed", "client_habits": {"marks_retry": True},
         "ceilings": {"cancel": True, "conn_idle_us": 30000000, "connect_timeout_us": 250000, "max_attempts": 4,
                      "max_retry_after_us": 2000000, "open_cap": 1000, "probes": True, "retry_after": True,
                      "second_copies": False, "streams_per_conn": 32},
