External calls: a remembered pushback no longer outweighs a token or count

Cause: handle_new_request asked what this processor remembered of the request first. A remembered pushback ended the question, so a valid token and the attempt count, which show an attempt that was not seen here, were looked at only for requests that were not remembered. An open call that waits for the proxy's retry did the same: it gave the attempt that lay ready to any message with its id.

Fix: a remembered outcome names the attempts that it is about. It explains a message that shows no earlier attempt, or the proxy's next one after the last seen here, by count, token and the client's mark. Tokens name the process and the attempt in fields that earlier releases ignore. What a refused message has shown is remembered.

A forged token is told as such in its own field and no longer by a raised count.

--- a/crates/core/external-call/src/calls.rs
+++ b/crates/core/external-call/src/calls.rs
@@ -1,7 +1,8 @@
 //! The state machine of all external processing calls of one processor.
 
 use crate::config::CallConfig;
-use crate::finished::{FinishedCalls, FinishedOutcome};
+use crate::earlier_attempts::{SeenAttempts, shows_earlier_attempt};
+use crate::finished::{EarlierAttempts, FinishedCalls, FinishedOutcome};
 use crate::messages::{AttemptToken, CallAction, CallRequest, CallResponse, FinalResponse, StreamId};
 use crate::round_trip::RoundTripEstimate;
 use crate::state::{Call, CallState, GrantedAttempt, Timeout};
@@ -29,7 +30,11 @@
             calls: BTreeMap::new(),
             streams: BTreeMap::new(),
             timeouts: BTreeSet::new(),
-            finished: FinishedCalls::new(config.unknown_outcome_retention, config.max_finished_calls),
+            finished: FinishedCalls::new(
+                config.unknown_outcome_retention,
+                config.retry_window,
+                config.max_finished_calls,
+            ),
             round_trip: RoundTripEstimate::default(),
             config,
         }
@@ -61,7 +66,7 @@
         self.finished.remove_expired(now);
         let respond_by = self.respond_by(now.saturating_sub(call_request.queued));
         if self.calls.contains_key(&call_request.request) {
-            return self.handle_known_request(call_request, respond_by);
+            return self.handle_known_request(now, call_request, respond_by);
         }
         self.handle_new_request(now, call_request, respond_by)
     }
@@ -74,13 +79,24 @@
 
     /// Handles another message about an open call. A retry that the call waits for uses the attempt that the
     /// router has granted or will grant; any other message gets a failure.
-    fn handle_known_request(&mut self, call_request: CallRequest, respond_by: Duration) -> Vec<CallAction> {
-        let CallRequest { stream, request, .. } = call_request;
+    fn handle_known_request(
+        &mut self,
+        now: Duration,
+        call_request: CallRequest,
+        respond_by: Duration,
+    ) -> Vec<CallAction> {
+        let (stream, request) = (call_request.stream, call_request.request.clone());
         let Some(call) = self.calls.get_mut(&request) else { return Vec::new() };
+        if call.idempotency != Idempotency::Idempotent && !call.seen.explain(&call_request) {
+            let mut actions = self.handle_attempt_elsewhere(now, &request);
+            actions.push(respond(stream, CallResponse::Fail));
+            return actions;
+        }
         let CallState::AwaitingRetry { granted, until } = call.state else {
             // The proxy's earlier attempt has not ended, and two are never forwarded at the same time.
             return vec![respond(stream, CallResponse::Fail)];
         };
+        call.seen.add(&call_request);
         call.state = CallState::AwaitingResponse { stream, respond_by, total_extension: Duration::ZERO };
         self.streams.insert(stream, request.clone());
         self.remove_timeout(until, &request);
@@ -91,6 +107,23 @@
         }
     }
 
+    /// Handles the evidence that an attempt of an open call was not forwarded by this processor and may have run.
+    /// The call gets no further attempt: it ends now, or when the attempt that the proxy has forwarded ends.
+    fn handle_attempt_elsewhere(&mut self, now: Duration, request: &RequestId) -> Vec<CallAction> {
+        let Some(call) = self.calls.get_mut(request) else { return Vec::new() };
+        call.may_have_run = true;
+        call.may_have_run_elsewhere = true;
+        let waiting = match call.state {
+            CallState::InFlight { .. } | CallState::Responding { .. } => return Vec::new(),
+            CallState::AwaitingResponse { stream, .. } => Some(stream),
+            CallState::AwaitingRetry { .. } => None,
+        };
+        let mut actions = vec![CallAction::Cancel(request.clone())];
+        actions.extend(self.finish(now, request, FinishedOutcome::MayHaveRun));
+        actions.extend(waiting.map(|stream| respond(stream, CallResponse::Fail)));
+        actions
+    }
+
     fn handle_new_request(
         &mut self,
         now: Duration,
@@ -99,24 +132,33 @@
     ) -> Vec<CallAction> {
         let (stream, request) = (call_request.stream, call_request.request.clone());
         let idempotency = self.idempotency(call_request.request_class);
-        let was_tried = call_request.attempt > 1 || call_request.has_valid_token;
-        let may_have_run = match self.finished.outcome(&request) {
-            Some(FinishedOutcome::MayHaveRun) => true,
-            Some(FinishedOutcome::NeverRan) => false,
-            None => was_tried,
+        let (may_have_run, earlier) = match self.finished.earlier_attempts(now, &call_request) {
+            EarlierAttempts::MayHaveRun => (true, None),
+            EarlierAttempts::NeverRan(seen) => (false, seen),
         };
         if may_have_run && idempotency != Idempotency::Idempotent {
+            // Stored, because a later message need not show it.
+            self.finished.insert(now, request, FinishedOutcome::MayHaveRun);
             return vec![respond(stream, CallResponse::Fail)];
         }
+        let seen = SeenAttempts::begin(&call_request, earlier);
         if self.calls.len() >= self.config.max_calls {
-            self.finished.insert(now, request, FinishedOutcome::of(may_have_run));
+            self.finished.insert(now, request, FinishedOutcome::of(may_have_run, seen));
             return vec![respond(stream, CallResponse::Reject { retry_after: None })];
         }
         let state = CallState::AwaitingResponse { stream, respond_by, total_extension: Duration::ZERO };
-        self.calls.insert(request.clone(), Call { state, idempotency, forwarded_attempts: 0, may_have_run });
+        let call = Call {
+            state,
+            idempotency,
+            forwarded_attempts: 0,
+            seen,
+            may_have_run,
+            may_have_run_elsewhere: may_have_run,
+        };
+        self.calls.insert(request.clone(), call);
         self.add_timeout(respond_by, &request);
         self.streams.insert(stream, request);
-        let client_retry = call_request.client_retry || was_tried;
+        let client_retry = call_request.client_retry || shows_earlier_attempt(&call_request);
         vec![CallAction::Submit(CallRequest { client_retry, ..call_request })]
     }
 
@@ -154,9 +196,10 @@
         call.state = CallState::InFlight { stream, granted };
         let attempt = call.forwarded_attempts;
         call.forwarded_attempts += 1;
+        let GrantedAttempt { token, engine, upstream_timeout } = granted;
+        call.seen.forward(token);
         self.remove_timeout(respond_by, request);
-        let GrantedAttempt { engine, upstream_timeout, .. } = granted;
-        vec![respond(stream, CallResponse::Forward { engine, upstream_timeout, attempt })]
+        vec![respond(stream, CallResponse::Forward { engine, token, upstream_timeout, attempt })]
     }
 
     /// Handles the request router's final response to a request.
@@ -167,7 +210,7 @@
         response: FinalResponse,
     ) -> Vec<CallAction> {
         let Some(call) = self.calls.get(request) else { return Vec::new() };
-        let outcome = FinishedOutcome::of(call.may_have_run || response == FinalResponse::Failed);
+        let outcome = FinishedOutcome::of(call.may_have_run || response == FinalResponse::Failed, call.seen);
         match call.state {
             CallState::AwaitingResponse { stream, .. } => {
                 let mut actions = self.finish(now, request, outcome);
@@ -204,7 +247,8 @@
             // without one.
             CallState::AwaitingResponse { stream: current, .. } if current == stream => {
                 let may_have_run = call.may_have_run || self.config.failure_mode_allow;
-                let mut actions = self.finish(now, &request, FinishedOutcome::of(may_have_run));
+                let outcome = FinishedOutcome::of(may_have_run, call.seen);
+                let mut actions = self.finish(now, &request, outcome);
                 actions.insert(0, CallAction::Cancel(request));
                 actions
             }
@@ -224,7 +268,8 @@
         }
     }
 
-    /// Ends an attempt. A call whose attempt returned is finished; any other waits for the proxy's retry.
+    /// Ends an attempt. A call whose attempt returned is finished, and so is one with an attempt elsewhere that may
+    /// have run and must not be repeated; any other waits for the proxy's retry.
     fn end_attempt(
         &mut self,
         now: Duration,
@@ -237,12 +282,16 @@
             actions.extend(self.finish(now, &request, FinishedOutcome::MayHaveRun));
             return actions;
         }
-        let until = now + self.config.retry_window;
-        if let Some(call) = self.calls.get_mut(&request) {
-            call.may_have_run |= !outcome.never_ran();
-            call.state = CallState::AwaitingRetry { granted: None, until };
-            self.add_timeout(until, &request);
+        let Some(call) = self.calls.get_mut(&request) else { return actions };
+        if call.may_have_run_elsewhere && call.idempotency != Idempotency::Idempotent {
+            actions.push(CallAction::Cancel(request.clone()));
+            actions.extend(self.finish(now, &request, FinishedOutcome::MayHaveRun));
+            return actions;
         }
+        let until = now + self.config.retry_window;
+        call.may_have_run |= !outcome.never_ran();
+        call.state = CallState::AwaitingRetry { granted: None, until };
+        self.add_timeout(until, &request);
         actions
     }
 
@@ -258,7 +307,7 @@
                     actions.extend(self.handle_response_timeout(now, request, stream, total_extension));
                 }
                 CallState::AwaitingRetry { .. } => {
-                    let outcome = FinishedOutcome::of(call.may_have_run);
+                    let outcome = FinishedOutcome::of(call.may_have_run, call.seen);
                     actions.push(CallAction::Cancel(request.clone()));
                     actions.extend(self.finish(now, &request, outcome));
                 }
@@ -290,7 +339,7 @@
             return vec![respond(stream, CallResponse::ExtendTimeout(extension))];
         }
         // This attempt never ran, because the proxy was not told to forward it. Earlier attempts may have run.
-        let outcome = FinishedOutcome::of(call.may_have_run);
+        let outcome = FinishedOutcome::of(call.may_have_run, call.seen);
         let retry_is_safe = !call.may_have_run || call.idempotency == Idempotency::Idempotent;
         let response = match retry_is_safe {
             true => CallResponse::Reject { retry_after: None },
--- a/crates/core/external-call/src/lib.rs
+++ b/crates/core/external-call/src/lib.rs
@@ -11,13 +11,15 @@
 //! - If a stream ends without a response from the engine, the outcome is unknown, however late the forward response
 //!   was sent: the proxy may have read it just in time. With `failure_mode_allow` a proxy may have forwarded the
 //!   request without any response from this gateway.
-//! - A request that has no open call is not forwarded if an earlier attempt may have run, unless its class is
-//!   idempotent. A stored outcome, a continuation token or the proxy's attempt count shows such an attempt.
+//! - A request is not forwarded if an earlier attempt may have run that this processor knows nothing about, unless
+//!   its class is idempotent. A continuation token or the proxy's attempt count shows such an attempt. What this
+//!   processor remembers never overrules them, because another processor may have forwarded the request since.
 
 #![warn(missing_docs)]
 
 mod calls;
 mod config;
+mod earlier_attempts;
 mod finished;
 mod messages;
 mod round_trip;
@@ -26,5 +28,7 @@
 
 pub use calls::ExternalCalls;
 pub use config::CallConfig;
-pub use messages::{AttemptToken, CallAction, CallRequest, CallResponse, FinalResponse, StreamId};
-pub use token::{ContinuationToken, SigningKey, TokenError};
+pub use messages::{
+    AttemptToken, CallAction, CallRequest, CallResponse, FinalResponse, StreamId, TokenEvidence,
+};
+pub use token::{ContinuationToken, ProcessorId, SigningKey, TokenError};
--- a/crates/core/external-call/src/messages.rs
+++ b/crates/core/external-call/src/messages.rs
@@ -8,6 +8,19 @@
 /// Number that identifies one attempt, assigned by the request router.
 pub type AttemptToken = u64;
 
+/// What the continuation token of a request shows about an earlier attempt.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum TokenEvidence {
+    /// The request has no token.
+    #[default]
+    Absent,
+    /// This processor told the proxy to forward this attempt.
+    ForwardedHere(AttemptToken),
+    /// Another processor told the proxy to forward an attempt, or an earlier process of this one did, or the token
+    /// can't be verified.
+    ForwardedElsewhere,
+}
+
 /// A proxy's call about a request: the first message of a stream.
 #[derive(Debug, Clone)]
 pub struct CallRequest {
@@ -25,8 +38,8 @@
     pub client_retry: bool,
     /// The proxy's attempt count, from 1 for the first attempt.
     pub attempt: u32,
-    /// Whether it has a valid continuation token, which proves that it was forwarded before.
-    pub has_valid_token: bool,
+    /// What its continuation token shows about an earlier attempt.
+    pub token: TokenEvidence,
     /// Time that its message has waited in the queue since it was received.
     pub queued: Duration,
 }
@@ -38,6 +51,8 @@
     Forward {
         /// The engine.
         engine: EngineId,
+        /// The attempt, which the continuation token names.
+        token: AttemptToken,
         /// How long the proxy waits for the engine's response.
         upstream_timeout: Duration,
         /// Index among the attempts that the proxy was told to forward in this call, from 0.
--- a/crates/core/external-call/src/state.rs
+++ b/crates/core/external-call/src/state.rs
@@ -1,5 +1,6 @@
 //! The states of one call.
 
+use crate::earlier_attempts::SeenAttempts;
 use crate::messages::{AttemptToken, StreamId};
 use lemonusher::{AttemptOutcome, EngineId, Idempotency, RequestId};
 use std::time::Duration;
@@ -42,8 +43,13 @@
     pub idempotency: Idempotency,
     /// Number of attempts that the proxy was told to forward.
     pub forwarded_attempts: u32,
+    /// The attempts that this processor has seen.
+    pub seen: SeenAttempts,
     /// Whether an earlier attempt may have run, in this call or before it. Never reset to false.
     pub may_have_run: bool,
+    /// Whether such an attempt was not forwarded by this processor, so that the request router does not know of it.
+    /// Never reset to false.
+    pub may_have_run_elsewhere: bool,
 }
 
 /// The timeout of a call's state. A call in `AwaitingResponse` or `AwaitingRetry` has exactly one; a call in
--- a/crates/core/external-call/src/token.rs
+++ b/crates/core/external-call/src/token.rs
@@ -2,6 +2,7 @@
 //! the request, such as after a restart, recognizes a retry. Tokens are signed against forgery and valid for
 //! a limited time.
 
+use crate::messages::AttemptToken;
 use base64::Engine;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use hmac::{Hmac, Mac};
@@ -50,6 +51,9 @@
     }
 }
 
+/// Number that tells the processes of a deployment's processors apart: each draws a random one when it starts.
+pub type ProcessorId = u64;
+
 /// A signed statement that a request was forwarded.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ContinuationToken {
@@ -61,6 +65,10 @@
     pub attempt: u32,
     /// Unix time in milliseconds after which the token is expired.
     pub valid_until_ms: u64,
+    /// The processor that told the proxy to forward that attempt. Earlier releases issued tokens without it.
+    pub processor: Option<ProcessorId>,
+    /// That attempt's number at this processor.
+    pub number: AttemptToken,
 }
 
 /// The reason why a token is not valid.
@@ -78,10 +86,14 @@
     /// Encodes and signs the token for use as a header value.
     pub fn encode(&self, key: &SigningKey) -> String {
         let request = URL_SAFE_NO_PAD.encode(self.request.as_bytes());
-        let text = format!(
+        let mut text = format!(
             "{FORMAT_VERSION}.{request}.{:x}.{:x}.{:x}",
             self.engine, self.attempt, self.valid_until_ms
         );
+        // Earlier releases ignore the fields from here on.
+        if let Some(processor) = self.processor {
+            text.push_str(&format!(".{processor:x}.{:x}", self.number));
+        }
         let signature = URL_SAFE_NO_PAD.encode(key.sign(&text));
         format!("{text}.{signature}")
     }
@@ -124,6 +136,8 @@
             engine: u32::try_from(number()?).ok()?,
             attempt: u32::try_from(number()?).ok()?,
             valid_until_ms: number()?,
+            processor: number(),
+            number: number().unwrap_or_default(),
         })
     }
 
--- a/crates/core/external-call/tests/calls.rs
+++ b/crates/core/external-call/tests/calls.rs
@@ -5,7 +5,7 @@
 use common::{IDEMPOTENT, NON_IDEMPOTENT, call_request, config, ms};
 use lemonusher::{AttemptOutcome, RequestId};
 use lemonusher_external_call::{
-    CallAction, CallConfig, CallRequest, CallResponse, ExternalCalls, FinalResponse,
+    CallAction, CallConfig, CallRequest, CallResponse, ExternalCalls, FinalResponse, TokenEvidence,
 };
 
 fn responses(actions: &[CallAction]) -> Vec<(u64, CallResponse)> {
@@ -24,8 +24,8 @@
     actions.iter().filter_map(outcome).collect()
 }
 
-fn forward(stream: u64, engine: u32, attempt: u32) -> Vec<(u64, CallResponse)> {
-    vec![(stream, CallResponse::Forward { engine, upstream_timeout: ms(900), attempt })]
+fn forward(stream: u64, engine: u32, token: u64, attempt: u32) -> Vec<(u64, CallResponse)> {
+    vec![(stream, CallResponse::Forward { engine, token, upstream_timeout: ms(900), attempt })]
 }
 
 #[test]
@@ -36,7 +36,7 @@
         calls.handle_request(ms(0), call_request(1, "b", NON_IDEMPOTENT)).as_slice(),
         [CallAction::Submit(_)]
     ));
-    assert_eq!(responses(&calls.handle_attempt(&request, 10, 7, ms(900))), forward(1, 7, 0));
+    assert_eq!(responses(&calls.handle_attempt(&request, 10, 7, ms(900))), forward(1, 7, 10, 0));
     calls.handle_response_headers(1, AttemptOutcome::Returned);
     assert_eq!(outcomes(&calls.handle_stream_end(ms(50), 1, true)), [(10, AttemptOutcome::Returned)]);
     assert_eq!((calls.open_calls(), calls.next_timeout()), (0, None));
@@ -96,9 +96,12 @@
     assert_eq!(outcomes(&calls.handle_stream_end(ms(10), 1, true)), [(10, AttemptOutcome::Rejected)]);
     // An attempt granted before the retry arrives is kept for it.
     assert!(calls.handle_attempt(&request, 11, 8, ms(900)).is_empty());
-    let retry =
-        |stream| CallRequest { attempt: 2, has_valid_token: true, ..call_request(stream, "b", IDEMPOTENT) };
-    assert_eq!(responses(&calls.handle_request(ms(20), retry(2))), forward(2, 8, 1));
+    let retry = |stream| CallRequest {
+        attempt: 2,
+        token: TokenEvidence::ForwardedHere(10),
+        ..call_request(stream, "b", IDEMPOTENT)
+    };
+    assert_eq!(responses(&calls.handle_request(ms(20), retry(2))), forward(2, 8, 11, 1));
     calls.handle_response_headers(2, AttemptOutcome::Errored);
     calls.handle_stream_end(ms(30), 2, true);
     // If no attempt is granted, the retry gets the router's final response.
@@ -124,10 +127,9 @@
 
 #[test]
 fn outcome_is_unknown_to_a_restarted_processor_by_token_or_attempt_count() {
-    for (attempt, has_valid_token) in [(2, false), (1, true)] {
+    for (attempt, token) in [(2, TokenEvidence::Absent), (1, TokenEvidence::ForwardedElsewhere)] {
         let mut calls = ExternalCalls::new(config(false, 0));
-        let retry =
-            |request_class| CallRequest { attempt, has_valid_token, ..call_request(1, "b", request_class) };
+        let retry = |request_class| CallRequest { attempt, token, ..call_request(1, "b", request_class) };
         assert_eq!(responses(&calls.handle_request(ms(0), retry(NON_IDEMPOTENT))), [(1, CallResponse::Fail)]);
         assert!(matches!(
             calls.handle_request(ms(0), retry(IDEMPOTENT)).as_slice(),
--- a/crates/core/external-call/tests/common/mod.rs
+++ b/crates/core/external-call/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Helpers shared by the tests of external calls.
 
 use lemonusher::{Idempotency, RequestId};
-use lemonusher_external_call::{CallConfig, CallRequest};
+use lemonusher_external_call::{CallConfig, CallRequest, TokenEvidence};
 use std::time::Duration;
 
 /// Index of a request class whose requests must not run twice.
@@ -35,7 +35,7 @@
         client_timeout: ms(5000),
         client_retry: false,
         attempt: 1,
-        has_valid_token: false,
+        token: TokenEvidence::Absent,
         queued: Duration::ZERO,
     }
 }
--- a/crates/core/external-call/tests/same_decisions.rs
+++ b/crates/core/external-call/tests/same_decisions.rs
@@ -4,7 +4,7 @@
 
 use lemonusher::*;
 use lemonusher_external_call::{
-    CallAction, CallConfig, CallRequest, CallResponse, ExternalCalls, FinalResponse,
+    CallAction, CallConfig, CallRequest, CallResponse, ExternalCalls, FinalResponse, TokenEvidence,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -143,6 +143,8 @@
     sent: BTreeMap<usize, u32>,
     /// The latest stream of each request.
     streams: BTreeMap<usize, u64>,
+    /// The latest attempt of each request, which its continuation token names.
+    tokens: BTreeMap<usize, u64>,
     next_stream: u64,
     next_token: u64,
     /// Attempts whose end is being reported, by token.
@@ -161,6 +163,7 @@
             open: BTreeSet::new(),
             sent: BTreeMap::new(),
             streams: BTreeMap::new(),
+            tokens: BTreeMap::new(),
             next_stream: 0,
             next_token: 0,
             ending: BTreeMap::new(),
@@ -298,7 +301,9 @@
             return actions;
         }
         for request in failed {
-            let retry = CallRequest { attempt: 2, has_valid_token: true, ..first_attempt() };
+            let (attempt, token) =
+                (self.sent[&request] + 1, TokenEvidence::ForwardedHere(self.tokens[&request]));
+            let retry = CallRequest { attempt, token, ..first_attempt() };
             let call = self.call_request(request, retry);
             if let Some(calls) = &mut self.calls {
                 actions.extend(calls.handle_request(now, call));
@@ -343,6 +348,7 @@
         let number = request_number(request);
         self.next_token += 1;
         let token = self.next_token;
+        self.tokens.insert(number, token);
         if let Some(calls) = &mut self.calls {
             actions.extend(calls.handle_attempt(request, token, engine, ms(1000)));
             let is_forward = |action: &CallAction| {
@@ -368,7 +374,7 @@
         client_timeout: ms(1),
         client_retry: false,
         attempt: 1,
-        has_valid_token: false,
+        token: TokenEvidence::Absent,
         queued: Duration::ZERO,
     }
 }
--- a/crates/edges/cli/src/run/processor.rs
+++ b/crates/edges/cli/src/run/processor.rs
@@ -4,7 +4,7 @@
 use crate::file::{FailureMode, ProcessorSection};
 use lemonusher_external_call::{CallConfig, SigningKey};
 use lemonusher_front::DeploymentNames;
-use lemonusher_processor::{RequestClass, ServerConfig};
+use lemonusher_processor::{RequestClass, ServerConfig, TokenIssuer};
 use std::time::Duration;
 
 /// The external processor's configuration.
@@ -40,8 +40,7 @@
         listen: *section.listen.get_ref(),
         header_names: section.header_names(),
         request_classes: classes.collect(),
-        signing_key,
-        token_validity: max_deadline * 2,
+        token_issuer: TokenIssuer { signing_key, processor: rand::random(), validity: max_deadline * 2 },
         max_streams: *section.max_streams.get_ref(),
         read_table_group: section.body_is_statement.then_some(lemonusher_front::table_group),
     };
--- a/crates/edges/processor/src/headers.rs
+++ b/crates/edges/processor/src/headers.rs
@@ -1,8 +1,9 @@
 //! Reads a request's parameters from its headers, whose names are configurable.
 
+use crate::server::TokenIssuer;
 use crate::wire;
 use envoy_types::pb::envoy::config::core::v3::HeaderMap;
-use lemonusher_external_call::{CallRequest, ContinuationToken, SigningKey, StreamId};
+use lemonusher_external_call::{CallRequest, ContinuationToken, StreamId, TokenEvidence};
 use std::collections::BTreeMap;
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
@@ -112,7 +113,7 @@
         stream: StreamId,
         headers: &Headers,
         classes: &[RequestClass],
-        key: &SigningKey,
+        issuer: &TokenIssuer,
         unix_ms: u64,
     ) -> Result<CallRequest, RequestError> {
         let request_class = self.read_class(headers, classes)?;
@@ -120,12 +121,11 @@
         let client_timeout = headers.number(&self.client_timeout).map(Duration::from_millis);
         let client_timeout = client_timeout.filter(|timeout| !timeout.is_zero());
         let client_timeout = client_timeout.unwrap_or(self.default_client_timeout);
-        let token = headers.get(&self.continuation_token);
-        let has_valid_token =
-            token.is_some_and(|text| ContinuationToken::decode(text, key, &request, unix_ms).is_ok());
+        let token = match headers.get(&self.continuation_token) {
+            Some(text) => token_evidence(text, issuer, &request, unix_ms),
+            None => TokenEvidence::Absent,
+        };
         let attempt = headers.number(&self.attempt_count).unwrap_or(1).clamp(1, u32::MAX.into()) as u32;
-        // The content of an invalid token is ignored, but its presence shows that the request was tried before.
-        let attempt = if token.is_some() && !has_valid_token { attempt.max(2) } else { attempt };
         Ok(CallRequest {
             stream,
             request: request.into(),
@@ -136,7 +136,7 @@
                 .get(&self.client_retry)
                 .is_some_and(|text| !wire::NOT_A_RETRY.contains(&text)),
             attempt,
-            has_valid_token,
+            token,
             queued: Duration::ZERO,
         })
     }
@@ -164,6 +164,15 @@
     }
 }
 
+/// Returns what a continuation token shows. The content of one that can't be verified is ignored, but its presence
+/// shows that the request was forwarded before.
+fn token_evidence(text: &str, issuer: &TokenIssuer, request: &str, unix_ms: u64) -> TokenEvidence {
+    match ContinuationToken::decode(text, &issuer.signing_key, request, unix_ms) {
+        Ok(token) if token.processor == Some(issuer.processor) => TokenEvidence::ForwardedHere(token.number),
+        _ => TokenEvidence::ForwardedElsewhere,
+    }
+}
+
 /// Hashes a table group's text. The result is the same at all processors built with the same Rust release.
 fn hash_table_group(text: &str) -> u64 {
     let mut hasher = std::hash::DefaultHasher::new();
--- a/crates/edges/processor/src/lib.rs
+++ b/crates/edges/processor/src/lib.rs
@@ -18,4 +18,4 @@
 pub use events::{ProxyEvent, ProxyResponse};
 pub use headers::{HeaderNames, PathClass, RequestClass, RequestError};
 pub use outcome::attempt_outcome;
-pub use server::{ServerConfig, StartedServer, start};
+pub use server::{ServerConfig, StartedServer, TokenIssuer, start};
--- a/crates/edges/processor/src/messages.rs
+++ b/crates/edges/processor/src/messages.rs
@@ -13,7 +13,6 @@
 };
 use envoy_types::pb::envoy::r#type::v3::HttpStatus;
 use envoy_types::pb::google::protobuf;
-use lemonusher::EngineId;
 use lemonusher_external_call::{CallResponse, ContinuationToken};
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -45,8 +44,16 @@
 ) -> ProcessingResponse {
     let names = &config.header_names;
     match response.response {
-        CallResponse::Forward { engine, upstream_timeout, attempt } => {
-            let token = continuation_token(config, request_id, engine, attempt);
+        CallResponse::Forward { engine, token, upstream_timeout, attempt } => {
+            let issuer = &config.token_issuer;
+            let token = ContinuationToken {
+                request: request_id.to_owned(),
+                engine,
+                attempt,
+                valid_until_ms: ContinuationToken::valid_until_ms(unix_ms(), issuer.validity),
+                processor: Some(issuer.processor),
+                number: token,
+            };
             forward_response(config, token, upstream_timeout, response.engine_address, answered_message)
         }
         CallResponse::ExtendTimeout(extension) => timeout_extension_response(extension),
@@ -66,20 +73,6 @@
     }
 }
 
-fn continuation_token(
-    config: &ServerConfig,
-    request_id: &str,
-    engine: EngineId,
-    attempt: u32,
-) -> ContinuationToken {
-    ContinuationToken {
-        request: request_id.to_owned(),
-        engine,
-        attempt,
-        valid_until_ms: ContinuationToken::valid_until_ms(unix_ms(), config.token_validity),
-    }
-}
-
 fn forward_response(
     config: &ServerConfig,
     token: ContinuationToken,
@@ -90,7 +83,7 @@
     let names = &config.header_names;
     let timeout_ms = (upstream_timeout.as_millis() as u64).max(1);
     let mut set_headers = vec![
-        header(&names.continuation_token, token.encode(&config.signing_key)),
+        header(&names.continuation_token, token.encode(&config.token_issuer.signing_key)),
         header(&names.upstream_timeout, timeout_ms.to_string()),
     ];
     set_headers.extend(engine_address.map(|address| header(&names.engine_address, address.to_string())));
--- a/crates/edges/processor/src/server.rs
+++ b/crates/edges/processor/src/server.rs
@@ -8,7 +8,7 @@
     ExternalProcessor, ExternalProcessorServer,
 };
 use envoy_types::pb::envoy::service::ext_proc::v3::{ProcessingRequest, ProcessingResponse};
-use lemonusher_external_call::SigningKey;
+use lemonusher_external_call::{ProcessorId, SigningKey};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::pin::Pin;
@@ -39,10 +39,8 @@
     pub header_names: HeaderNames,
     /// The deployment's request classes, by index.
     pub request_classes: Vec<RequestClass>,
-    /// Key that signs continuation tokens.
-    pub signing_key: SigningKey,
-    /// How long a continuation token is valid.
-    pub token_validity: Duration,
+    /// Issues and verifies continuation tokens.
+    pub token_issuer: TokenIssuer,
     /// Maximum number of open streams, over all proxies.
     pub max_streams: usize,
     /// Reads the table group from a statement. If set, the server requests the bodies of requests, which
@@ -50,6 +48,17 @@
     pub read_table_group: Option<fn(&str) -> Option<u64>>,
 }
 
+/// What a processor needs to issue continuation tokens and to recognize its own.
+#[derive(Debug, Clone)]
+pub struct TokenIssuer {
+    /// Key that signs continuation tokens, the same at all processors of a deployment.
+    pub signing_key: SigningKey,
+    /// Identifies this process among the processors of the deployment.
+    pub processor: ProcessorId,
+    /// How long a continuation token is valid.
+    pub validity: Duration,
+}
+
 /// A running server.
 pub struct StartedServer {
     /// Address that it listens on.
--- a/crates/edges/processor/src/stream.rs
+++ b/crates/edges/processor/src/stream.rs
@@ -232,8 +232,8 @@
 
     fn read_request(&self, headers: HttpHeaders) -> Result<CallRequest, RequestError> {
         let headers = Headers::read(headers.headers)?;
-        let ServerConfig { header_names, request_classes, signing_key, .. } = &self.config;
-        header_names.read_request(self.guard.stream, &headers, request_classes, signing_key, unix_ms())
+        let ServerConfig { header_names, request_classes, token_issuer, .. } = &self.config;
+        header_names.read_request(self.guard.stream, &headers, request_classes, token_issuer, unix_ms())
     }
 
     async fn handle_request_body(&mut self, body: HttpBody) -> Flow {
