External calls: a rejection that may come too late proves nothing

Cause: a call that ended without a verdict was stored as never run. That holds where the proxy fails closed. One that fails open forwards without a verdict when its timer ends, and does not tell whether it read the rejection before. The reset of its stream came after the call was over and was ignored.

Evidence: processor_retries stops the processor after it has asked for more time, so the message had been read and neither the margin nor the router decided.

Fix: one rule for all that ends without a verdict (rejection.rs). Under proxies that fail open, a rejection decided after the proxy's timeout is a failure in doubt; one in time lets a client come back and explains no retry of the proxy; a stream reset before its rejection was written puts the request in doubt. An expired timeout is not extended. A keyed request that may have run is no longer rejected: another processor does not know when its window began.

--- a/crates/core/external-call/src/calls.rs
+++ b/crates/core/external-call/src/calls.rs
@@ -4,8 +4,9 @@
 use crate::earlier_attempts::{SeenAttempts, shows_earlier_attempt};
 use crate::finished::{EarlierAttempts, FinishedCalls, FinishedOutcome};
 use crate::messages::{AttemptToken, CallAction, CallRequest, CallResponse, FinalResponse, StreamId};
+use crate::rejection::{Rejection, Unanswered};
 use crate::round_trip::RoundTripEstimate;
-use crate::state::{Call, CallState, GrantedAttempt, Timeout};
+use crate::state::{Call, CallState, GrantedAttempt, ResponseDeadline, Timeout};
 use lemonusher::{AttemptOutcome, EngineId, Idempotency, RequestId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -18,6 +19,8 @@
     calls: BTreeMap<RequestId, Call>,
     /// The request of each open stream; finished calls have none.
     streams: BTreeMap<StreamId, RequestId>,
+    /// The request of each open stream whose rejection may not have been written yet, if the proxies fail open.
+    rejected_streams: BTreeMap<StreamId, RequestId>,
     timeouts: BTreeSet<Timeout>,
     finished: FinishedCalls,
     round_trip: RoundTripEstimate,
@@ -29,6 +32,7 @@
         ExternalCalls {
             calls: BTreeMap::new(),
             streams: BTreeMap::new(),
+            rejected_streams: BTreeMap::new(),
             timeouts: BTreeSet::new(),
             finished: FinishedCalls::new(
                 config.unknown_outcome_retention,
@@ -64,17 +68,18 @@
     /// Handles a proxy's call about a request: its first attempt or a retry.
     pub fn handle_request(&mut self, now: Duration, call_request: CallRequest) -> Vec<CallAction> {
         self.finished.remove_expired(now);
-        let respond_by = self.respond_by(now.saturating_sub(call_request.queued));
+        let deadline = self.response_deadline(now.saturating_sub(call_request.queued));
         if self.calls.contains_key(&call_request.request) {
-            return self.handle_known_request(now, call_request, respond_by);
+            return self.handle_known_request(now, call_request, deadline);
         }
-        self.handle_new_request(now, call_request, respond_by)
+        self.handle_new_request(now, call_request, deadline)
     }
 
-    /// Returns the latest time to send the response to a message received at `received`. The time
+    /// Returns the deadline of the response to a message received at `received`. The time
     /// in the front's queue counts, because the proxy's timeout runs from when the proxy sent the message.
-    fn respond_by(&self, received: Duration) -> Duration {
-        (received + self.config.message_timeout).saturating_sub(self.response_margin())
+    fn response_deadline(&self, received: Duration) -> ResponseDeadline {
+        let proxy_timeout = received + self.config.message_timeout;
+        ResponseDeadline { respond_by: proxy_timeout.saturating_sub(self.response_margin()), proxy_timeout }
     }
 
     /// Handles another message about an open call. A retry that the call waits for uses the attempt that the
@@ -83,7 +88,7 @@
         &mut self,
         now: Duration,
         call_request: CallRequest,
-        respond_by: Duration,
+        deadline: ResponseDeadline,
     ) -> Vec<CallAction> {
         let (stream, request) = (call_request.stream, call_request.request.clone());
         let Some(call) = self.calls.get_mut(&request) else { return Vec::new() };
@@ -97,10 +102,10 @@
             return vec![respond(stream, CallResponse::Fail)];
         };
         call.seen.add(&call_request);
-        call.state = CallState::AwaitingResponse { stream, respond_by, total_extension: Duration::ZERO };
+        call.state = CallState::AwaitingResponse { stream, deadline, total_extension: Duration::ZERO };
         self.streams.insert(stream, request.clone());
         self.remove_timeout(until, &request);
-        self.add_timeout(respond_by, &request);
+        self.add_timeout(deadline.respond_by, &request);
         match granted {
             Some(granted) => self.forward(&request, granted),
             None => Vec::new(),
@@ -128,7 +133,7 @@
         &mut self,
         now: Duration,
         call_request: CallRequest,
-        respond_by: Duration,
+        deadline: ResponseDeadline,
     ) -> Vec<CallAction> {
         let (stream, request) = (call_request.stream, call_request.request.clone());
         let idempotency = self.idempotency(call_request.request_class);
@@ -143,10 +148,12 @@
         }
         let seen = SeenAttempts::begin(&call_request, earlier);
         if self.calls.len() >= self.config.max_calls {
-            self.finished.insert(now, request, FinishedOutcome::of(may_have_run, seen));
-            return vec![respond(stream, CallResponse::Reject { retry_after: None })];
+            let unanswered = self.unanswered(seen, may_have_run, idempotency, deadline);
+            let Rejection { response, outcome } = unanswered.reject(now, None);
+            self.finished.insert(now, request.clone(), outcome);
+            return vec![self.respond_last(stream, request, response)];
         }
-        let state = CallState::AwaitingResponse { stream, respond_by, total_extension: Duration::ZERO };
+        let state = CallState::AwaitingResponse { stream, deadline, total_extension: Duration::ZERO };
         let call = Call {
             state,
             idempotency,
@@ -156,7 +163,7 @@
             may_have_run_elsewhere: may_have_run,
         };
         self.calls.insert(request.clone(), call);
-        self.add_timeout(respond_by, &request);
+        self.add_timeout(deadline.respond_by, &request);
         self.streams.insert(stream, request);
         let client_retry = call_request.client_retry || shows_earlier_attempt(&call_request);
         vec![CallAction::Submit(CallRequest { client_retry, ..call_request })]
@@ -192,13 +199,13 @@
     /// Responds to the waiting proxy that it is to forward the request.
     fn forward(&mut self, request: &RequestId, granted: GrantedAttempt) -> Vec<CallAction> {
         let Some(call) = self.calls.get_mut(request) else { return Vec::new() };
-        let CallState::AwaitingResponse { stream, respond_by, .. } = call.state else { return Vec::new() };
+        let CallState::AwaitingResponse { stream, deadline, .. } = call.state else { return Vec::new() };
         call.state = CallState::InFlight { stream, granted };
         let attempt = call.forwarded_attempts;
         call.forwarded_attempts += 1;
         let GrantedAttempt { token, engine, upstream_timeout } = granted;
         call.seen.forward(token);
-        self.remove_timeout(respond_by, request);
+        self.remove_timeout(deadline.respond_by, request);
         vec![respond(stream, CallResponse::Forward { engine, token, upstream_timeout, attempt })]
     }
 
@@ -210,21 +217,66 @@
         response: FinalResponse,
     ) -> Vec<CallAction> {
         let Some(call) = self.calls.get(request) else { return Vec::new() };
-        let outcome = FinishedOutcome::of(call.may_have_run || response == FinalResponse::Failed, call.seen);
-        match call.state {
-            CallState::AwaitingResponse { stream, .. } => {
-                let mut actions = self.finish(now, request, outcome);
-                let response = match response {
-                    FinalResponse::Rejected { retry_after } => CallResponse::Reject { retry_after },
-                    FinalResponse::Failed => CallResponse::Fail,
-                };
-                actions.push(respond(stream, response));
-                actions
+        match (call.state, response) {
+            (
+                CallState::AwaitingResponse { stream, deadline, .. },
+                FinalResponse::Rejected { retry_after },
+            ) => {
+                let unanswered = self.unanswered(call.seen, call.may_have_run, call.idempotency, deadline);
+                self.end_unanswered(request, stream, unanswered.reject(now, retry_after), now)
+            }
+            (CallState::AwaitingResponse { stream, .. }, FinalResponse::Failed) => {
+                let failure =
+                    Rejection { response: CallResponse::Fail, outcome: FinishedOutcome::MayHaveRun };
+                self.end_unanswered(request, stream, failure, now)
+            }
+            (CallState::AwaitingRetry { .. }, _) => {
+                let may_have_run = call.may_have_run || response == FinalResponse::Failed;
+                let outcome = FinishedOutcome::of(may_have_run, call.seen);
+                self.finish(now, request, outcome)
             }
-            CallState::AwaitingRetry { .. } => self.finish(now, request, outcome),
             // The proxy already forwards the request and can't be stopped. The call ends with its stream.
-            CallState::InFlight { .. } | CallState::Responding { .. } => Vec::new(),
+            (CallState::InFlight { .. } | CallState::Responding { .. }, _) => Vec::new(),
+        }
+    }
+
+    /// Describes a request that gets no verdict, for the rule of rejections.
+    fn unanswered(
+        &self,
+        seen: SeenAttempts,
+        may_have_run: bool,
+        idempotency: Idempotency,
+        deadline: ResponseDeadline,
+    ) -> Unanswered {
+        Unanswered {
+            seen,
+            may_have_run,
+            may_not_run_again: idempotency != Idempotency::Idempotent,
+            proxy_timeout: deadline.proxy_timeout,
+            failure_mode_allow: self.config.failure_mode_allow,
+        }
+    }
+
+    /// Ends a call whose proxy waits, without a verdict.
+    fn end_unanswered(
+        &mut self,
+        request: &RequestId,
+        stream: StreamId,
+        rejection: Rejection,
+        now: Duration,
+    ) -> Vec<CallAction> {
+        let mut actions = self.finish(now, request, rejection.outcome);
+        actions.push(self.respond_last(stream, request.clone(), rejection.response));
+        actions
+    }
+
+    /// Sends the last response to a proxy. The stream of a rejection is kept until its end tells whether the rejection was
+    /// written, if the proxy fails open.
+    fn respond_last(&mut self, stream: StreamId, request: RequestId, response: CallResponse) -> CallAction {
+        if self.config.failure_mode_allow && matches!(response, CallResponse::Reject { .. }) {
+            self.rejected_streams.insert(stream, request);
         }
+        respond(stream, response)
     }
 
     /// Handles the headers of the engine's response; `outcome` was derived from them.
@@ -240,6 +292,9 @@
 
     /// Handles the end of a stream, which was either complete or reset.
     pub fn handle_stream_end(&mut self, now: Duration, stream: StreamId, complete: bool) -> Vec<CallAction> {
+        if let Some(request) = self.rejected_streams.remove(&stream) {
+            return if complete { Vec::new() } else { self.handle_unwritten_rejection(now, request) };
+        }
         let Some(request) = self.streams.remove(&stream) else { return Vec::new() };
         let Some(call) = self.calls.get_mut(&request) else { return Vec::new() };
         match call.state {
@@ -268,6 +323,19 @@
         }
     }
 
+    /// Handles the end of a stream before its rejection was written. The proxy, which fails open, has forwarded the
+    /// request without it.
+    fn handle_unwritten_rejection(&mut self, now: Duration, request: RequestId) -> Vec<CallAction> {
+        match self.calls.get(&request) {
+            Some(call) if call.idempotency == Idempotency::Idempotent => Vec::new(),
+            Some(_) => self.handle_attempt_elsewhere(now, &request),
+            None => {
+                self.finished.insert(now, request, FinishedOutcome::MayHaveRun);
+                Vec::new()
+            }
+        }
+    }
+
     /// Ends an attempt. A call whose attempt returned is finished, and so is one with an attempt elsewhere that may
     /// have run and must not be repeated; any other waits for the proxy's retry.
     fn end_attempt(
@@ -303,8 +371,8 @@
         while let Some(Timeout { request, .. }) = self.pop_timeout(now) {
             let Some(call) = self.calls.get(&request) else { continue };
             match call.state {
-                CallState::AwaitingResponse { stream, total_extension, .. } => {
-                    actions.extend(self.handle_response_timeout(now, request, stream, total_extension));
+                CallState::AwaitingResponse { .. } => {
+                    actions.extend(self.handle_response_timeout(now, request));
                 }
                 CallState::AwaitingRetry { .. } => {
                     let outcome = FinishedOutcome::of(call.may_have_run, call.seen);
@@ -319,35 +387,29 @@
 
     /// Handles a response that is due while the router has granted no attempt. The proxy's timeout is
     /// extended if possible; otherwise the call ends.
-    fn handle_response_timeout(
-        &mut self,
-        now: Duration,
-        request: RequestId,
-        stream: StreamId,
-        total_extension: Duration,
-    ) -> Vec<CallAction> {
-        let remaining = self.config.max_timeout_extension.saturating_sub(total_extension);
-        let extension = self.config.message_timeout.min(remaining);
+    fn handle_response_timeout(&mut self, now: Duration, request: RequestId) -> Vec<CallAction> {
         let margin = self.response_margin();
         let Some(call) = self.calls.get_mut(&request) else { return Vec::new() };
-        if !extension.is_zero() {
+        let CallState::AwaitingResponse { stream, deadline, total_extension } = call.state else {
+            return Vec::new();
+        };
+        let remaining = self.config.max_timeout_extension.saturating_sub(total_extension);
+        let extension = self.config.message_timeout.min(remaining);
+        if !extension.is_zero() && now < deadline.proxy_timeout {
             // The extension restarts the proxy's timer.
-            let respond_by = (now + extension).saturating_sub(margin).max(now + extension / 2);
+            let proxy_timeout = now + extension;
+            let respond_by = proxy_timeout.saturating_sub(margin).max(now + extension / 2);
+            let deadline = ResponseDeadline { respond_by, proxy_timeout };
             let total_extension = total_extension + extension;
-            call.state = CallState::AwaitingResponse { stream, respond_by, total_extension };
+            call.state = CallState::AwaitingResponse { stream, deadline, total_extension };
             self.add_timeout(respond_by, &request);
             return vec![respond(stream, CallResponse::ExtendTimeout(extension))];
         }
         // This attempt never ran, because the proxy was not told to forward it. Earlier attempts may have run.
-        let outcome = FinishedOutcome::of(call.may_have_run, call.seen);
-        let retry_is_safe = !call.may_have_run || call.idempotency == Idempotency::Idempotent;
-        let response = match retry_is_safe {
-            true => CallResponse::Reject { retry_after: None },
-            false => CallResponse::Fail,
-        };
+        let (seen, may_have_run, idempotency) = (call.seen, call.may_have_run, call.idempotency);
+        let rejection = self.unanswered(seen, may_have_run, idempotency, deadline).reject(now, None);
         let mut actions = vec![CallAction::Cancel(request.clone())];
-        actions.extend(self.finish(now, &request, outcome));
-        actions.push(respond(stream, response));
+        actions.extend(self.end_unanswered(&request, stream, rejection, now));
         actions
     }
 
@@ -356,9 +418,9 @@
         let Some(call) = self.calls.remove(request) else { return Vec::new() };
         let mut actions = Vec::new();
         match call.state {
-            CallState::AwaitingResponse { stream, respond_by, .. } => {
+            CallState::AwaitingResponse { stream, deadline, .. } => {
                 self.streams.remove(&stream);
-                self.remove_timeout(respond_by, request);
+                self.remove_timeout(deadline.respond_by, request);
             }
             CallState::AwaitingRetry { granted, until } => {
                 self.remove_timeout(until, request);
--- a/crates/core/external-call/src/finished.rs
+++ b/crates/core/external-call/src/finished.rs
@@ -10,15 +10,16 @@
 /// Whether the request of a finished call may have run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum FinishedOutcome {
-    /// None of these attempts ran. Nothing is known of any other.
-    NeverRan(SeenAttempts),
+    /// None of these attempts ran. Nothing is known of any other. Without them, only a new request of a client that
+    /// was told to come back is known to be safe.
+    NeverRan(Option<SeenAttempts>),
     /// An attempt ran, or may have run.
     MayHaveRun,
 }
 
 impl FinishedOutcome {
     pub(crate) fn of(may_have_run: bool, seen: SeenAttempts) -> FinishedOutcome {
-        if may_have_run { FinishedOutcome::MayHaveRun } else { FinishedOutcome::NeverRan(seen) }
+        if may_have_run { FinishedOutcome::MayHaveRun } else { FinishedOutcome::NeverRan(Some(seen)) }
     }
 }
 
@@ -77,7 +78,7 @@
         };
         match call.outcome {
             FinishedOutcome::NeverRan(seen) if self.is_explained(now, call, seen, message) => {
-                EarlierAttempts::NeverRan(Some(seen))
+                EarlierAttempts::NeverRan(seen)
             }
             _ => EarlierAttempts::MayHaveRun,
         }
@@ -89,11 +90,14 @@
         &self,
         now: Duration,
         call: &FinishedCall,
-        seen: SeenAttempts,
+        seen: Option<SeenAttempts>,
         message: &CallRequest,
     ) -> bool {
+        if !shows_earlier_attempt(message) {
+            return true;
+        }
         let is_in_time = now <= call.finished_at + self.retry_window;
-        seen.explain(message) && (is_in_time || seen.have_token() || !shows_earlier_attempt(message))
+        seen.is_some_and(|seen| seen.explain(message) && (is_in_time || seen.have_token()))
     }
 
     pub(crate) fn insert(&mut self, now: Duration, request: RequestId, outcome: FinishedOutcome) {
--- a/crates/core/external-call/src/lib.rs
+++ b/crates/core/external-call/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! - Before a response that tells the proxy to forward the request is written, no attempt ran.
 //! - After that, the attempt may have run, until the proxy reports how it ended.
+//! - A rejection that a proxy with `failure_mode_allow` may have read too late proves nothing.
 //! - If a stream ends without a response from the engine, the outcome is unknown, however late the forward response
 //!   was sent: the proxy may have read it just in time. With `failure_mode_allow` a proxy may have forwarded the
 //!   request without any response from this gateway.
@@ -22,6 +23,7 @@
 mod earlier_attempts;
 mod finished;
 mod messages;
+mod rejection;
 mod round_trip;
 mod state;
 mod token;
--- a/crates/core/external-call/src/state.rs
+++ b/crates/core/external-call/src/state.rs
@@ -13,13 +13,21 @@
     pub upstream_timeout: Duration,
 }
 
+/// Until when a response to a proxy is of use.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct ResponseDeadline {
+    /// Latest time to send the response.
+    pub respond_by: Duration,
+    /// From then on, the proxy's timer may have expired.
+    pub proxy_timeout: Duration,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum CallState {
     /// The proxy waits for a response from this processor.
     AwaitingResponse {
         stream: StreamId,
-        /// Latest time to send the response.
-        respond_by: Duration,
+        deadline: ResponseDeadline,
         /// Total extension of the proxy's timeout so far.
         total_extension: Duration,
     },
--- a/crates/core/external-call/tests/attempts_elsewhere.rs
+++ b/crates/core/external-call/tests/attempts_elsewhere.rs
@@ -180,3 +180,81 @@
     let forward = CallResponse::Forward { engine: 8, token: 11, upstream_timeout: ms(900), attempt: 1 };
     assert_eq!(responses(&actions), [(2, forward)]);
 }
+
+/// A processor whose proxies fail open and that has rejected the first attempt of the request `delay` after it was
+/// due, with its response.
+fn after_rejection_with_failure_mode_allow(delay: Duration) -> (ExternalCalls, Duration, CallResponse) {
+    let mut calls = ExternalCalls::new(config(true, 0));
+    calls.handle_request(ms(0), message(1, 1, ABSENT));
+    let at = calls.next_timeout().unwrap() + delay;
+    let (_, response) = responses(&calls.poll(at)).remove(0);
+    (calls, at, response)
+}
+
+/// Guards against a rejection that may have come too late and is remembered as proof that nothing ran.
+#[test]
+fn rejection_that_may_have_come_too_late_proves_nothing() {
+    let (mut calls, at, response) = after_rejection_with_failure_mode_allow(ms(150));
+    assert_eq!(response, CallResponse::Fail);
+    for (stream, attempt) in [(2, 2), (3, 1)] {
+        let actions = calls.handle_request(at + ms(10), message(stream, attempt, ABSENT));
+        assert_eq!(responses(&actions), [(stream, CallResponse::Fail)]);
+    }
+    // A proxy that fails closed has answered its client by then, and has forwarded nothing.
+    let mut calls = ExternalCalls::new(config(false, 300));
+    calls.handle_request(ms(0), message(1, 1, ABSENT));
+    assert_eq!(responses(&calls.poll(ms(250))), [(1, CallResponse::Reject { retry_after: None })]);
+    assert!(is_submitted(&calls.handle_request(ms(300), message(2, 2, ABSENT))));
+}
+
+/// Guards against a retry that is forwarded because the attempt before it was rejected, when the proxy may have
+/// forwarded that attempt without having read the rejection.
+#[test]
+fn rejection_in_time_explains_no_retry_of_a_proxy_that_fails_open() {
+    let (mut calls, at, response) = after_rejection_with_failure_mode_allow(ms(0));
+    assert_eq!(response, CallResponse::Reject { retry_after: None });
+    // The client comes back, because it was told to.
+    assert!(is_submitted(&calls.handle_request(at + ms(200), message(2, 1, ABSENT))));
+    let (mut calls, at, _) = after_rejection_with_failure_mode_allow(ms(0));
+    let actions = calls.handle_request(at + ms(110), message(2, 2, ABSENT));
+    assert_eq!(responses(&actions), [(2, CallResponse::Fail)]);
+}
+
+/// Guards against a rejection that was decided in time and never written.
+#[test]
+fn rejection_that_was_not_written_before_the_stream_was_reset_proves_nothing() {
+    for (complete, is_safe) in [(true, true), (false, false)] {
+        let (mut calls, at, _) = after_rejection_with_failure_mode_allow(ms(0));
+        assert!(calls.handle_stream_end(at + ms(100), 1, complete).is_empty());
+        let actions = calls.handle_request(at + ms(110), message(2, 1, ABSENT));
+        assert_eq!(is_submitted(&actions), is_safe);
+    }
+    // A request that came back meanwhile is not forwarded any more.
+    let (mut calls, at, _) = after_rejection_with_failure_mode_allow(ms(0));
+    assert!(is_submitted(&calls.handle_request(at + ms(10), message(2, 1, ABSENT))));
+    let actions = calls.handle_stream_end(at + ms(100), 1, false);
+    assert_eq!(responses(&actions), [(2, CallResponse::Fail)]);
+    assert_eq!(calls.open_calls(), 0);
+}
+
+/// Guards against a proxy's timeout that is extended after it has expired.
+#[test]
+fn expired_timeout_is_not_extended() {
+    let mut calls = ExternalCalls::new(config(true, 300));
+    calls.handle_request(ms(0), message(1, 1, ABSENT));
+    assert_eq!(responses(&calls.poll(ms(200))), [(1, CallResponse::Fail)]);
+}
+
+#[test]
+fn rejection_for_lack_of_capacity_proves_as_little() {
+    let full = CallConfig { max_calls: 0, ..config(true, 0) };
+    for (queued, response) in
+        [(ms(0), CallResponse::Reject { retry_after: None }), (ms(200), CallResponse::Fail)]
+    {
+        let mut calls = ExternalCalls::new(full.clone());
+        let late = CallRequest { queued, ..message(1, 1, ABSENT) };
+        assert_eq!(responses(&calls.handle_request(ms(1000), late)), [(1, response)]);
+        let actions = calls.handle_request(ms(1010), message(2, 2, ABSENT));
+        assert_eq!(responses(&actions), [(2, CallResponse::Fail)]);
+    }
+}
--- a/crates/core/external-call/tests/random_failures.rs
+++ b/crates/core/external-call/tests/random_failures.rs
@@ -460,7 +460,7 @@
     }
 
     /// Times out proxies that got no response in time: each gives up or, with `failure_mode_allow`, forwards
-    /// the request.
+    /// the request. It may retry after that.
     fn time_out_proxies(&mut self) {
         for number in 0..self.requests.len() {
             let ProxyState::AwaitingResponse { processor, stream, until } = self.requests[number].state
@@ -469,11 +469,10 @@
             };
             if until <= self.now {
                 self.requests[number].state = ProxyState::Idle;
-                if self.failure_mode_allow {
-                    self.requests[number].runs += 1;
-                    self.requests[number].attempts = FINISHED;
-                }
-                self.send(processor, Input::StreamEnd { stream, complete: false });
+                self.requests[number].runs += u32::from(self.failure_mode_allow);
+                // A response may be on its way: written to the connection, or still in the processor.
+                let is_written = self.answered_streams.contains(&stream) && stream.is_multiple_of(2);
+                self.send(processor, Input::StreamEnd { stream, complete: is_written });
             }
         }
     }
@@ -493,10 +492,7 @@
         for request in &mut self.requests {
             match request.state {
                 ProxyState::AwaitingResponse { processor: of, .. } if of == processor => {
-                    if self.failure_mode_allow {
-                        request.runs += 1;
-                        request.attempts = FINISHED;
-                    }
+                    request.runs += u32::from(self.failure_mode_allow);
                     request.state = ProxyState::Idle;
                 }
                 // The proxy has lost the stream; whether it goes on is up to the proxy, so here the attempt ends.
--- a/crates/edges/cli/tests/processor_retries.rs
+++ b/crates/edges/cli/tests/processor_retries.rs
@@ -8,10 +8,17 @@
 #[allow(dead_code)]
 mod proxies;
 
+use envoy_types::pb::envoy::config::core::v3::HeaderValue;
+use envoy_types::pb::envoy::service::ext_proc::v3::ProcessingResponse;
+use envoy_types::pb::envoy::service::ext_proc::v3::processing_request::Request as MessageBody;
+use envoy_types::pb::envoy::service::ext_proc::v3::processing_response::Response as ReplyBody;
+use lemonusher_fakes::TEST_TIMEOUT;
 use managers::{Gnmi, update};
 use proxies::*;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::runtime::Runtime;
+use tonic::Streaming;
 
 /// The only request class of the tests' deployment whose requests must not run twice.
 const NON_IDEMPOTENT: &str = "load";
@@ -38,6 +45,33 @@
     manager.set(vec![update(POOL, &pool)]).await.unwrap();
 }
 
+/// A proxy's first message about one attempt of a request.
+fn attempt_headers(id: &str, attempt: u32) -> MessageBody {
+    let header = |key: &str, value: &str| HeaderValue {
+        key: key.into(),
+        raw_value: value.as_bytes().to_vec(),
+        ..Default::default()
+    };
+    MessageBody::RequestHeaders(headers(vec![
+        header("x-request-id", id),
+        header("x-service-group", NON_IDEMPOTENT),
+        header("x-envoy-attempt-count", &attempt.to_string()),
+    ]))
+}
+
+/// Status and outcome of the processor's response to the client; status 0 for a verdict to forward the request.
+async fn immediate_response(responses: &mut Streaming<ProcessingResponse>) -> (i32, String) {
+    let message = tokio::time::timeout(TEST_TIMEOUT, responses.message()).await.expect("a response in time");
+    let Some(ReplyBody::ImmediateResponse(response)) = message.unwrap().unwrap().response else {
+        return (0, "forwarded".to_owned());
+    };
+    let options = response.headers.unwrap_or_default().set_headers;
+    let outcome =
+        options.into_iter().filter_map(|option| option.header).find(|h| h.key == "x-lemonusher-outcome");
+    let outcome = outcome.map(|header| String::from_utf8_lossy(&header.raw_value).into_owned());
+    (response.status.unwrap().code, outcome.unwrap_or_default())
+}
+
 /// Guards against a processor that forwards a request again because it had rejected it before another processor
 /// forwarded it.
 #[test]
@@ -61,3 +95,39 @@
         assert_eq!(second.attempts, 2);
     });
 }
+
+/// Guards against a rejection that the proxy could not read in time and that is remembered as proof that nothing ran.
+#[test]
+fn rejection_after_the_proxys_timeout_proves_nothing_if_the_proxy_fails_open() {
+    const MESSAGE_TIMEOUT: Duration = Duration::from_millis(1200);
+    runtime().block_on(async {
+        // No engine is known, so each request waits for its verdict until shortly before the proxy's timeout.
+        let timeout = MESSAGE_TIMEOUT.as_millis();
+        let toml = format!("fails = \"open\"\nmessage_timeout_ms = {timeout}\nmore_time_ms = {timeout}");
+        let processor = Processor::new(&[], &toml);
+        let front = processor.front.as_ref().unwrap();
+        let proxy = Proxy::new(&[processor.address], None);
+        let mut streams = Vec::new();
+        for (id, next_attempt) in [("once-1", 2), ("once-2", 1)] {
+            let (send, responses, _) = proxy.open(processor.address).await.unwrap();
+            send.send(message(attempt_headers(id, 1))).await.unwrap();
+            streams.push((id, next_attempt, send, responses));
+        }
+        for (id, _, _, responses) in &mut streams {
+            let extension = tokio::time::timeout(TEST_TIMEOUT, responses.message()).await.unwrap();
+            assert!(extension.unwrap().unwrap().override_message_timeout.is_some(), "{id}");
+        }
+        // The processor knows the requests now, and stops. Their proxy's timeout passes, so that it forwards them
+        // without a verdict; the resets of their streams are on their way when the processor goes on.
+        front.freeze();
+        tokio::time::sleep(MESSAGE_TIMEOUT * 3 / 2).await;
+        front.signal("CONT");
+        for (id, next_attempt, send, mut responses) in streams {
+            assert_eq!(immediate_response(&mut responses).await, (502, "errored".to_owned()), "{id}");
+            drop((send, responses));
+            let (send, mut responses, _) = proxy.open(processor.address).await.unwrap();
+            send.send(message(attempt_headers(id, next_attempt))).await.unwrap();
+            assert_eq!(immediate_response(&mut responses).await, (502, "errored".to_owned()), "{id}");
+        }
+    });
+}
