External calls: a kept attempt is forwarded only while it may start

Cause: the bridge between router and proxies passed on neither the time by which an attempt must start nor the router's withdrawal, so an attempt that was kept for the proxy's retry was forwarded whenever that came.

Evidence: processor_retries, window 2 s, reset at 1.6 s, retry at 2.1 s.

Fix: a granted attempt carries its deadline and the time by which it must start; both are checked when the verdict is given. Withdrawals and cancels end a kept attempt as not sent. The proxy's upstream timeout is taken when the attempt is forwarded. A verdict for a proxy whose timer has expired is not given.

Tests: handle_attempt takes the time and the attempt; the tests' deadlines are counted from there, all bounds as before.

--- a/crates/core/external-call/src/calls.rs
+++ b/crates/core/external-call/src/calls.rs
@@ -3,11 +3,13 @@
 use crate::config::CallConfig;
 use crate::earlier_attempts::{SeenAttempts, shows_earlier_attempt};
 use crate::finished::{EarlierAttempts, FinishedCalls, FinishedOutcome};
-use crate::messages::{AttemptToken, CallAction, CallRequest, CallResponse, FinalResponse, StreamId};
+use crate::messages::{
+    AttemptToken, CallAction, CallRequest, CallResponse, FinalResponse, GrantedAttempt, StreamId,
+};
 use crate::rejection::{Rejection, Unanswered};
 use crate::round_trip::RoundTripEstimate;
-use crate::state::{Call, CallState, GrantedAttempt, ResponseDeadline, Timeout};
-use lemonusher::{AttemptOutcome, EngineId, Idempotency, RequestId};
+use crate::state::{Call, CallState, ResponseDeadline, Timeout};
+use lemonusher::{AttemptOutcome, Idempotency, RequestId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -21,6 +23,8 @@
     streams: BTreeMap<StreamId, RequestId>,
     /// The request of each open stream whose rejection may not have been written yet, if the proxies fail open.
     rejected_streams: BTreeMap<StreamId, RequestId>,
+    /// The request of each attempt that is kept for the proxy's retry.
+    kept_attempts: BTreeMap<AttemptToken, RequestId>,
     timeouts: BTreeSet<Timeout>,
     finished: FinishedCalls,
     round_trip: RoundTripEstimate,
@@ -33,6 +37,7 @@
             calls: BTreeMap::new(),
             streams: BTreeMap::new(),
             rejected_streams: BTreeMap::new(),
+            kept_attempts: BTreeMap::new(),
             timeouts: BTreeSet::new(),
             finished: FinishedCalls::new(
                 config.unknown_outcome_retention,
@@ -107,7 +112,7 @@
         self.remove_timeout(until, &request);
         self.add_timeout(deadline.respond_by, &request);
         match granted {
-            Some(granted) => self.forward(&request, granted),
+            Some(granted) => self.forward(now, &request, granted),
             None => Vec::new(),
         }
     }
@@ -178,37 +183,68 @@
     /// waits for a response, kept if the proxy's retry is expected, and ends as not sent otherwise.
     pub fn handle_attempt(
         &mut self,
+        now: Duration,
         request: &RequestId,
-        token: AttemptToken,
-        engine: EngineId,
-        upstream_timeout: Duration,
+        granted: GrantedAttempt,
     ) -> Vec<CallAction> {
-        let attempt = GrantedAttempt { token, engine, upstream_timeout };
-        let not_sent = CallAction::EndAttempt { token, outcome: AttemptOutcome::NotSent };
-        let Some(call) = self.calls.get_mut(request) else { return vec![not_sent] };
+        let Some(call) = self.calls.get_mut(request) else { return vec![not_sent(granted)] };
         match &mut call.state {
-            CallState::AwaitingResponse { .. } => self.forward(request, attempt),
-            CallState::AwaitingRetry { granted, .. } if granted.is_none() => {
-                *granted = Some(attempt);
+            CallState::AwaitingResponse { deadline, .. } if now >= deadline.proxy_timeout => {
+                let mut actions = vec![not_sent(granted)];
+                actions.extend(self.end_without_verdict(now, request));
+                actions
+            }
+            CallState::AwaitingResponse { .. } => self.forward(now, request, granted),
+            CallState::AwaitingRetry { granted: kept, .. } if kept.is_none() => {
+                *kept = Some(granted);
+                self.kept_attempts.insert(granted.token, request.clone());
                 Vec::new()
             }
-            _ => vec![not_sent],
+            _ => vec![not_sent(granted)],
         }
     }
 
-    /// Responds to the waiting proxy that it is to forward the request.
-    fn forward(&mut self, request: &RequestId, granted: GrantedAttempt) -> Vec<CallAction> {
-        let Some(call) = self.calls.get_mut(request) else { return Vec::new() };
+    /// Ends a call that has got no verdict in time. Its last attempt never ran unless the proxy forwards without a
+    /// verdict; earlier attempts may have run.
+    fn end_without_verdict(&mut self, now: Duration, request: &RequestId) -> Vec<CallAction> {
+        let Some(call) = self.calls.get(request) else { return Vec::new() };
         let CallState::AwaitingResponse { stream, deadline, .. } = call.state else { return Vec::new() };
+        let rejection =
+            self.unanswered(call.seen, call.may_have_run, call.idempotency, deadline).reject(now, None);
+        let mut actions = vec![CallAction::Cancel(request.clone())];
+        actions.extend(self.end_unanswered(request, stream, rejection, now));
+        actions
+    }
+
+    /// Responds to the waiting proxy that it is to forward the request, if the attempt may still start.
+    fn forward(&mut self, now: Duration, request: &RequestId, granted: GrantedAttempt) -> Vec<CallAction> {
+        self.kept_attempts.remove(&granted.token);
+        let Some(call) = self.calls.get_mut(request) else { return vec![not_sent(granted)] };
+        let CallState::AwaitingResponse { stream, deadline, .. } = call.state else {
+            return vec![not_sent(granted)];
+        };
+        if !granted.may_start(now) {
+            return vec![not_sent(granted)];
+        }
         call.state = CallState::InFlight { stream, granted };
         let attempt = call.forwarded_attempts;
         call.forwarded_attempts += 1;
-        let GrantedAttempt { token, engine, upstream_timeout } = granted;
+        let GrantedAttempt { token, engine, until, .. } = granted;
         call.seen.forward(token);
         self.remove_timeout(deadline.respond_by, request);
+        let upstream_timeout = until.saturating_sub(now);
         vec![respond(stream, CallResponse::Forward { engine, token, upstream_timeout, attempt })]
     }
 
+    /// Handles the request router's withdrawal of an attempt. One that is kept for the proxy's retry ends as not sent;
+    /// one that the proxy was told to forward can't be stopped.
+    pub fn handle_withdrawal(&mut self, token: AttemptToken) -> Vec<CallAction> {
+        let Some(request) = self.kept_attempts.remove(&token) else { return Vec::new() };
+        let Some(call) = self.calls.get_mut(&request) else { return Vec::new() };
+        let CallState::AwaitingRetry { granted, .. } = &mut call.state else { return Vec::new() };
+        granted.take().into_iter().map(not_sent).collect()
+    }
+
     /// Handles the request router's final response to a request.
     pub fn handle_final_response(
         &mut self,
@@ -405,12 +441,7 @@
             self.add_timeout(respond_by, &request);
             return vec![respond(stream, CallResponse::ExtendTimeout(extension))];
         }
-        // This attempt never ran, because the proxy was not told to forward it. Earlier attempts may have run.
-        let (seen, may_have_run, idempotency) = (call.seen, call.may_have_run, call.idempotency);
-        let rejection = self.unanswered(seen, may_have_run, idempotency, deadline).reject(now, None);
-        let mut actions = vec![CallAction::Cancel(request.clone())];
-        actions.extend(self.end_unanswered(&request, stream, rejection, now));
-        actions
+        self.end_without_verdict(now, &request)
     }
 
     /// Removes a call and stores its outcome. An attempt that was granted but not forwarded ends as not sent.
@@ -424,11 +455,10 @@
             }
             CallState::AwaitingRetry { granted, until } => {
                 self.remove_timeout(until, request);
-                let not_sent = |GrantedAttempt { token, .. }| CallAction::EndAttempt {
-                    token,
-                    outcome: AttemptOutcome::NotSent,
-                };
-                actions.extend(granted.map(not_sent));
+                if let Some(granted) = granted {
+                    self.kept_attempts.remove(&granted.token);
+                    actions.push(not_sent(granted));
+                }
             }
             CallState::InFlight { stream, .. } | CallState::Responding { stream, .. } => {
                 self.streams.remove(&stream);
@@ -454,6 +484,10 @@
     }
 }
 
+fn not_sent(granted: GrantedAttempt) -> CallAction {
+    CallAction::EndAttempt { token: granted.token, outcome: AttemptOutcome::NotSent }
+}
+
 fn respond(stream: StreamId, response: CallResponse) -> CallAction {
     CallAction::Respond { stream, response }
 }
--- a/crates/core/external-call/src/lib.rs
+++ b/crates/core/external-call/src/lib.rs
@@ -8,6 +8,8 @@
 //!
 //! - Before a response that tells the proxy to forward the request is written, no attempt ran.
 //! - After that, the attempt may have run, until the proxy reports how it ended.
+//! - An attempt that is kept for the proxy's retry is forwarded only while it may start, and not once the request
+//!   router has withdrawn it.
 //! - A rejection that a proxy with `failure_mode_allow` may have read too late proves nothing.
 //! - If a stream ends without a response from the engine, the outcome is unknown, however late the forward response
 //!   was sent: the proxy may have read it just in time. With `failure_mode_allow` a proxy may have forwarded the
@@ -31,6 +33,7 @@
 pub use calls::ExternalCalls;
 pub use config::CallConfig;
 pub use messages::{
-    AttemptToken, CallAction, CallRequest, CallResponse, FinalResponse, StreamId, TokenEvidence,
+    AttemptToken, CallAction, CallRequest, CallResponse, FinalResponse, GrantedAttempt, StreamId,
+    TokenEvidence,
 };
 pub use token::{ContinuationToken, ProcessorId, SigningKey, TokenError};
--- a/crates/core/external-call/src/messages.rs
+++ b/crates/core/external-call/src/messages.rs
@@ -44,6 +44,27 @@
     pub queued: Duration,
 }
 
+/// An attempt that the request router grants to a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct GrantedAttempt {
+    /// Its number.
+    pub token: AttemptToken,
+    /// The engine that it goes to.
+    pub engine: EngineId,
+    /// Its deadline: it is not forwarded at this time or later, and the proxy waits for the engine's response until
+    /// then.
+    pub until: Duration,
+    /// It may not start at this time or later; none sets no such limit.
+    pub start_by: Option<Duration>,
+}
+
+impl GrantedAttempt {
+    /// Returns whether the proxy may be told at `now` to forward it.
+    pub(crate) fn may_start(&self, now: Duration) -> bool {
+        now < self.until && self.start_by.is_none_or(|start_by| now < start_by)
+    }
+}
+
 /// A response to the proxy: what it is to do with the request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CallResponse {
--- a/crates/core/external-call/src/state.rs
+++ b/crates/core/external-call/src/state.rs
@@ -1,18 +1,10 @@
 //! The states of one call.
 
 use crate::earlier_attempts::SeenAttempts;
-use crate::messages::{AttemptToken, StreamId};
-use lemonusher::{AttemptOutcome, EngineId, Idempotency, RequestId};
+use crate::messages::{GrantedAttempt, StreamId};
+use lemonusher::{AttemptOutcome, Idempotency, RequestId};
 use std::time::Duration;
 
-/// An attempt granted by the request router.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct GrantedAttempt {
-    pub token: AttemptToken,
-    pub engine: EngineId,
-    pub upstream_timeout: Duration,
-}
-
 /// Until when a response to a proxy is of use.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct ResponseDeadline {
--- a/crates/core/external-call/tests/attempts_elsewhere.rs
+++ b/crates/core/external-call/tests/attempts_elsewhere.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{IDEMPOTENT, NON_IDEMPOTENT, call_request, config, ms};
+use common::{IDEMPOTENT, NON_IDEMPOTENT, call_request, config, grant, ms};
 use lemonusher::{AttemptOutcome, DeduplicationScope, Idempotency};
 use lemonusher_external_call::{
     CallAction, CallConfig, CallRequest, CallResponse, ExternalCalls, FinalResponse, TokenEvidence,
@@ -45,7 +45,7 @@
 fn awaiting_retry(config: CallConfig) -> ExternalCalls {
     let mut calls = ExternalCalls::new(config);
     calls.handle_request(ms(0), message(1, 1, ABSENT));
-    calls.handle_attempt(&"b".into(), FIRST, 7, ms(900));
+    calls.handle_attempt(ms(0), &"b".into(), grant(ms(0), FIRST, 7));
     calls.handle_response_headers(1, AttemptOutcome::Rejected);
     calls.handle_stream_end(ms(10), 1, true);
     calls
@@ -112,7 +112,7 @@
     for idempotency in [Idempotency::NonIdempotent, keyed] {
         for (attempt, token) in [(2, ELSEWHERE), (2, ABSENT), (3, HERE)] {
             let mut calls = awaiting_retry(CallConfig { idempotency: vec![idempotency], ..config(false, 0) });
-            assert!(calls.handle_attempt(&"b".into(), 11, 8, ms(900)).is_empty());
+            assert!(calls.handle_attempt(ms(10), &"b".into(), grant(ms(10), 11, 8)).is_empty());
             let actions = calls.handle_request(ms(20), message(2, attempt, token));
             assert_eq!(responses(&actions), [(2, CallResponse::Fail)], "{attempt} {token:?}");
             assert!(
@@ -140,7 +140,7 @@
 fn attempt_in_flight_is_the_last_when_an_attempt_elsewhere_shows() {
     let mut calls = ExternalCalls::new(config(false, 0));
     calls.handle_request(ms(0), message(1, 1, ABSENT));
-    calls.handle_attempt(&"b".into(), FIRST, 7, ms(900));
+    calls.handle_attempt(ms(0), &"b".into(), grant(ms(0), FIRST, 7));
     assert_eq!(responses(&calls.handle_request(ms(5), message(2, 2, ELSEWHERE))), [(2, CallResponse::Fail)]);
     calls.handle_response_headers(1, AttemptOutcome::Rejected);
     let actions = calls.handle_stream_end(ms(10), 1, true);
@@ -173,9 +173,9 @@
     let idempotent =
         |stream, attempt, token| CallRequest { attempt, token, ..call_request(stream, "b", IDEMPOTENT) };
     assert!(is_submitted(&calls.handle_request(ms(0), idempotent(1, 2, ELSEWHERE))));
-    calls.handle_attempt(&"b".into(), FIRST, 7, ms(900));
+    calls.handle_attempt(ms(0), &"b".into(), grant(ms(0), FIRST, 7));
     calls.handle_stream_end(ms(10), 1, false);
-    assert!(calls.handle_attempt(&"b".into(), 11, 8, ms(900)).is_empty());
+    assert!(calls.handle_attempt(ms(10), &"b".into(), grant(ms(20), 11, 8)).is_empty());
     let actions = calls.handle_request(ms(20), idempotent(2, 3, ELSEWHERE));
     let forward = CallResponse::Forward { engine: 8, token: 11, upstream_timeout: ms(900), attempt: 1 };
     assert_eq!(responses(&actions), [(2, forward)]);
--- a/crates/core/external-call/tests/calls.rs
+++ b/crates/core/external-call/tests/calls.rs
@@ -2,10 +2,11 @@
 
 mod common;
 
-use common::{IDEMPOTENT, NON_IDEMPOTENT, call_request, config, ms};
+use common::{IDEMPOTENT, NON_IDEMPOTENT, call_request, config, grant, ms};
 use lemonusher::{AttemptOutcome, RequestId};
 use lemonusher_external_call::{
-    CallAction, CallConfig, CallRequest, CallResponse, ExternalCalls, FinalResponse, TokenEvidence,
+    CallAction, CallConfig, CallRequest, CallResponse, ExternalCalls, FinalResponse, GrantedAttempt,
+    TokenEvidence,
 };
 
 fn responses(actions: &[CallAction]) -> Vec<(u64, CallResponse)> {
@@ -36,7 +37,7 @@
         calls.handle_request(ms(0), call_request(1, "b", NON_IDEMPOTENT)).as_slice(),
         [CallAction::Submit(_)]
     ));
-    assert_eq!(responses(&calls.handle_attempt(&request, 10, 7, ms(900))), forward(1, 7, 10, 0));
+    assert_eq!(responses(&calls.handle_attempt(ms(0), &request, grant(ms(0), 10, 7))), forward(1, 7, 10, 0));
     calls.handle_response_headers(1, AttemptOutcome::Returned);
     assert_eq!(outcomes(&calls.handle_stream_end(ms(50), 1, true)), [(10, AttemptOutcome::Returned)]);
     assert_eq!((calls.open_calls(), calls.next_timeout()), (0, None));
@@ -61,7 +62,10 @@
     assert!(matches!(actions[0], CallAction::Cancel(_)));
     assert_eq!(responses(&actions), [(1, CallResponse::Reject { retry_after: None })]);
     // An attempt granted after this ends as not sent, and the proxy may call again for the request.
-    assert_eq!(outcomes(&calls.handle_attempt(&"b".into(), 10, 7, ms(900))), [(10, AttemptOutcome::NotSent)]);
+    assert_eq!(
+        outcomes(&calls.handle_attempt(timeout, &"b".into(), grant(timeout, 10, 7))),
+        [(10, AttemptOutcome::NotSent)]
+    );
     let again = CallRequest { attempt: 2, ..call_request(2, "b", NON_IDEMPOTENT) };
     assert!(matches!(calls.handle_request(ms(300), again).as_slice(), [CallAction::Submit(_)]));
     // If the proxy allows extensions, its timeout is extended first.
@@ -86,7 +90,7 @@
     let mut calls = ExternalCalls::new(config(false, 0));
     let request: RequestId = "b".into();
     calls.handle_request(ms(0), call_request(1, "b", IDEMPOTENT));
-    calls.handle_attempt(&request, 10, 7, ms(900));
+    calls.handle_attempt(ms(0), &request, grant(ms(0), 10, 7));
     // While the first attempt is in flight, a second one is never forwarded.
     assert_eq!(
         responses(&calls.handle_request(ms(5), call_request(9, "b", IDEMPOTENT))),
@@ -95,7 +99,7 @@
     calls.handle_response_headers(1, AttemptOutcome::Rejected);
     assert_eq!(outcomes(&calls.handle_stream_end(ms(10), 1, true)), [(10, AttemptOutcome::Rejected)]);
     // An attempt granted before the retry arrives is kept for it.
-    assert!(calls.handle_attempt(&request, 11, 8, ms(900)).is_empty());
+    assert!(calls.handle_attempt(ms(10), &request, grant(ms(20), 11, 8)).is_empty());
     let retry = |stream| CallRequest {
         attempt: 2,
         token: TokenEvidence::ForwardedHere(10),
@@ -116,10 +120,10 @@
     );
     // An attempt that is granted without a retry arriving ends as not sent.
     calls.handle_request(ms(50), call_request(4, "d", IDEMPOTENT));
-    calls.handle_attempt(&"d".into(), 12, 7, ms(900));
+    calls.handle_attempt(ms(50), &"d".into(), grant(ms(50), 12, 7));
     calls.handle_response_headers(4, AttemptOutcome::ConnectFailed);
     calls.handle_stream_end(ms(60), 4, true);
-    calls.handle_attempt(&"d".into(), 13, 8, ms(900));
+    calls.handle_attempt(ms(60), &"d".into(), grant(ms(60), 13, 8));
     let actions = calls.poll(ms(60 + 300));
     assert_eq!(outcomes(&actions), [(13, AttemptOutcome::NotSent)]);
     assert!(matches!(actions[0], CallAction::Cancel(_)) && calls.open_calls() == 0);
@@ -142,7 +146,7 @@
 fn response_that_breaks_off_counts_as_reset() {
     let mut calls = ExternalCalls::new(config(false, 0));
     calls.handle_request(ms(0), call_request(1, "b", NON_IDEMPOTENT));
-    calls.handle_attempt(&"b".into(), 10, 7, ms(900));
+    calls.handle_attempt(ms(0), &"b".into(), grant(ms(0), 10, 7));
     calls.handle_response_headers(1, AttemptOutcome::Returned);
     assert_eq!(outcomes(&calls.handle_stream_end(ms(10), 1, false)), [(10, AttemptOutcome::Reset)]);
 }
@@ -199,3 +203,80 @@
     [12_000, 24_000].into_iter().for_each(|at| calls.record_round_trip(ms(at), ms(1)));
     assert_eq!(calls.response_margin(), ms(10));
 }
+
+/// A processor that keeps an attempt for the proxy's retry at 10 ms; the attempt must start by 100 ms.
+fn keeping_an_attempt() -> ExternalCalls {
+    let mut calls = ExternalCalls::new(config(false, 0));
+    calls.handle_request(ms(0), call_request(1, "b", IDEMPOTENT));
+    calls.handle_attempt(ms(0), &"b".into(), grant(ms(0), 10, 7));
+    calls.handle_response_headers(1, AttemptOutcome::Errored);
+    calls.handle_stream_end(ms(10), 1, true);
+    let granted = GrantedAttempt { start_by: Some(ms(100)), ..grant(ms(10), 11, 8) };
+    assert!(calls.handle_attempt(ms(10), &"b".into(), granted).is_empty());
+    calls
+}
+
+fn retry_of_the_kept(stream: u64) -> CallRequest {
+    let token = TokenEvidence::ForwardedHere(10);
+    CallRequest { attempt: 2, token, ..call_request(stream, "b", IDEMPOTENT) }
+}
+
+/// Guards against an attempt that was granted ahead for a retry and is forwarded when it may no longer start.
+#[test]
+fn kept_attempt_is_forwarded_only_while_it_may_start() {
+    let mut calls = keeping_an_attempt();
+    let forwarded =
+        CallResponse::Forward { engine: 8, token: 11, upstream_timeout: ms(900 - 89), attempt: 1 };
+    assert_eq!(responses(&calls.handle_request(ms(99), retry_of_the_kept(2))), [(2, forwarded)]);
+    let mut calls = keeping_an_attempt();
+    let actions = calls.handle_request(ms(100), retry_of_the_kept(2));
+    assert_eq!(outcomes(&actions), [(11, AttemptOutcome::NotSent)]);
+    assert_eq!(responses(&actions), []);
+    // The retry waits, and gets what the router grants next.
+    assert_eq!(
+        responses(&calls.handle_attempt(ms(110), &"b".into(), grant(ms(110), 12, 9))),
+        forward(2, 9, 12, 1)
+    );
+    // An attempt whose deadline has passed is not forwarded either.
+    let mut calls = ExternalCalls::new(config(false, 0));
+    calls.handle_request(ms(0), call_request(1, "b", IDEMPOTENT));
+    let granted = GrantedAttempt { until: ms(20), ..grant(ms(0), 10, 7) };
+    assert_eq!(
+        outcomes(&calls.handle_attempt(ms(20), &"b".into(), granted)),
+        [(10, AttemptOutcome::NotSent)]
+    );
+}
+
+/// Guards against an attempt that was granted ahead for a retry and is forwarded after the router has withdrawn it.
+#[test]
+fn withdrawn_attempt_is_not_forwarded() {
+    let mut calls = keeping_an_attempt();
+    assert_eq!(outcomes(&calls.handle_withdrawal(11)), [(11, AttemptOutcome::NotSent)]);
+    assert!(calls.handle_withdrawal(11).is_empty());
+    assert!(calls.handle_request(ms(20), retry_of_the_kept(2)).is_empty());
+    // An attempt that the proxy was told to forward can't be withdrawn.
+    assert_eq!(
+        responses(&calls.handle_attempt(ms(20), &"b".into(), grant(ms(20), 12, 9))),
+        forward(2, 9, 12, 1)
+    );
+    assert!(calls.handle_withdrawal(12).is_empty());
+    // Nor is anything left of one whose call has ended.
+    let mut calls = keeping_an_attempt();
+    assert_eq!(outcomes(&calls.poll(ms(10 + 300))), [(11, AttemptOutcome::NotSent)]);
+    assert!(calls.handle_withdrawal(11).is_empty());
+}
+
+/// Guards against a verdict that is given when the proxy's timer may have expired.
+#[test]
+fn attempt_granted_after_the_proxys_timeout_is_not_forwarded() {
+    for (failure_mode_allow, response) in
+        [(false, CallResponse::Reject { retry_after: None }), (true, CallResponse::Fail)]
+    {
+        let mut calls = ExternalCalls::new(config(failure_mode_allow, 0));
+        calls.handle_request(ms(0), call_request(1, "b", NON_IDEMPOTENT));
+        let actions = calls.handle_attempt(ms(200), &"b".into(), grant(ms(200), 10, 7));
+        assert_eq!(outcomes(&actions), [(10, AttemptOutcome::NotSent)]);
+        assert_eq!(responses(&actions), [(1, response)]);
+        assert_eq!((calls.open_calls(), calls.next_timeout()), (0, None));
+    }
+}
--- a/crates/core/external-call/tests/common/mod.rs
+++ b/crates/core/external-call/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! Helpers shared by the tests of external calls.
 
 use lemonusher::{Idempotency, RequestId};
-use lemonusher_external_call::{CallConfig, CallRequest, TokenEvidence};
+use lemonusher_external_call::{CallConfig, CallRequest, GrantedAttempt, TokenEvidence};
 use std::time::Duration;
 
 /// Index of a request class whose requests must not run twice.
@@ -39,3 +39,8 @@
         queued: Duration::ZERO,
     }
 }
+
+/// An attempt granted at `now` whose deadline is 900 ms later.
+pub fn grant(now: Duration, token: u64, engine: u32) -> GrantedAttempt {
+    GrantedAttempt { token, engine, until: now + ms(900), start_by: None }
+}
--- a/crates/core/external-call/tests/random_failures.rs
+++ b/crates/core/external-call/tests/random_failures.rs
@@ -6,7 +6,7 @@
 
 mod common;
 
-use common::{IDEMPOTENT, NON_IDEMPOTENT, call_request, config, ms};
+use common::{IDEMPOTENT, NON_IDEMPOTENT, call_request, config, grant, ms};
 use lemonusher::{AttemptOutcome, RequestId};
 use lemonusher_external_call::{
     CallAction, CallRequest, CallResponse, ExternalCalls, FinalResponse, TokenEvidence,
@@ -335,7 +335,7 @@
     fn grant(&mut self, number: usize, processor: usize) {
         let id = self.requests[number].id.clone();
         let token = self.new_number();
-        let host = &mut self.processors[processor];
+        let (now, host) = (self.now, &mut self.processors[processor]);
         if host.suspended.is_some() {
             return;
         }
@@ -347,7 +347,7 @@
         }
         submitted.in_flight = Some(token);
         host.attempts.insert(token, Attempt { request: id.clone(), has_ended: false });
-        let actions = host.calls.handle_attempt(&id, token, 7, ms(900));
+        let actions = host.calls.handle_attempt(now, &id, grant(now, token, 7));
         self.execute(processor, actions);
     }
 
--- a/crates/core/external-call/tests/same_decisions.rs
+++ b/crates/core/external-call/tests/same_decisions.rs
@@ -4,7 +4,8 @@
 
 use lemonusher::*;
 use lemonusher_external_call::{
-    CallAction, CallConfig, CallRequest, CallResponse, ExternalCalls, FinalResponse, TokenEvidence,
+    CallAction, CallConfig, CallRequest, CallResponse, ExternalCalls, FinalResponse, GrantedAttempt,
+    TokenEvidence,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -350,7 +351,8 @@
         let token = self.next_token;
         self.tokens.insert(number, token);
         if let Some(calls) = &mut self.calls {
-            actions.extend(calls.handle_attempt(request, token, engine, ms(1000)));
+            let granted = GrantedAttempt { token, engine, until: now + ms(1000), start_by: None };
+            actions.extend(calls.handle_attempt(now, request, granted));
             let is_forward = |action: &CallAction| {
                 matches!(action, CallAction::Respond { response: CallResponse::Forward { .. }, .. })
             };
--- a/crates/edges/cli/tests/processor_retries.rs
+++ b/crates/edges/cli/tests/processor_retries.rs
@@ -16,12 +16,12 @@
 use managers::{Gnmi, update};
 use proxies::*;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::runtime::Runtime;
 use tonic::Streaming;
 
-/// The only request class of the tests' deployment whose requests must not run twice.
-const NON_IDEMPOTENT: &str = "load";
+/// The request class of the tests' deployment whose requests must not run twice.
+const LOAD: &str = "load";
 const POOL: &str = "/front/pool[name=a]";
 /// Id of the first engine, as managers write it.
 const FIRST_ENGINE: &str = "00000001";
@@ -46,17 +46,32 @@
 }
 
 /// A proxy's first message about one attempt of a request.
-fn attempt_headers(id: &str, attempt: u32) -> MessageBody {
+fn attempt_headers(id: &str, attempt: u32, token: Option<&str>) -> MessageBody {
     let header = |key: &str, value: &str| HeaderValue {
         key: key.into(),
         raw_value: value.as_bytes().to_vec(),
         ..Default::default()
     };
-    MessageBody::RequestHeaders(headers(vec![
+    let mut list = vec![
         header("x-request-id", id),
-        header("x-service-group", NON_IDEMPOTENT),
+        header("x-service-group", LOAD),
         header("x-envoy-attempt-count", &attempt.to_string()),
-    ]))
+    ];
+    list.extend(token.map(|token| header("x-lemonusher-ticket", token)));
+    MessageBody::RequestHeaders(headers(list))
+}
+
+/// The continuation token of the processor's verdict to forward the request.
+async fn verdict_token(responses: &mut Streaming<ProcessingResponse>) -> String {
+    let message = tokio::time::timeout(TEST_TIMEOUT, responses.message()).await.expect("a verdict in time");
+    let response = message.unwrap().unwrap().response;
+    let Some(ReplyBody::RequestHeaders(verdict)) = response else {
+        panic!("the request is not forwarded: {response:?}");
+    };
+    let options = verdict.response.unwrap().header_mutation.unwrap().set_headers;
+    let token =
+        options.into_iter().filter_map(|option| option.header).find(|h| h.key == "x-lemonusher-ticket");
+    String::from_utf8(token.unwrap().raw_value).unwrap()
 }
 
 /// Status and outcome of the processor's response to the client; status 0 for a verdict to forward the request.
@@ -82,14 +97,14 @@
         let (forwarding, _other_manager) = start_managed(engine.address).await;
         // The only engine is drained at one processor, which therefore rejects the request.
         set_pool_state(&mut manager, "draining").await;
-        let first = Proxy::new(&[rejecting.address], None).request("once-1", NON_IDEMPOTENT).await;
+        let first = Proxy::new(&[rejecting.address], None).request("once-1", LOAD).await;
         assert_eq!((first.status, first.outcome.as_deref()), (503, Some("pushed-back")));
         assert_eq!(engine.run_counts().get("once-1"), None);
         set_pool_state(&mut manager, "enabled").await;
         // The client sends it again, through a proxy that takes the processors in turn. It runs by the verdict of the
         // other one, and its connection is closed without a response.
         let proxy = Proxy::new(&[forwarding.address, rejecting.address], None);
-        let second = proxy.request("once-1", NON_IDEMPOTENT).await;
+        let second = proxy.request("once-1", LOAD).await;
         assert_eq!(engine.run_counts().get("once-1"), Some(&1), "{second:?}");
         assert_eq!((second.status, second.outcome.as_deref()), (502, Some("errored")));
         assert_eq!(second.attempts, 2);
@@ -110,7 +125,7 @@
         let mut streams = Vec::new();
         for (id, next_attempt) in [("once-1", 2), ("once-2", 1)] {
             let (send, responses, _) = proxy.open(processor.address).await.unwrap();
-            send.send(message(attempt_headers(id, 1))).await.unwrap();
+            send.send(message(attempt_headers(id, 1, None))).await.unwrap();
             streams.push((id, next_attempt, send, responses));
         }
         for (id, _, _, responses) in &mut streams {
@@ -126,8 +141,49 @@
             assert_eq!(immediate_response(&mut responses).await, (502, "errored".to_owned()), "{id}");
             drop((send, responses));
             let (send, mut responses, _) = proxy.open(processor.address).await.unwrap();
-            send.send(message(attempt_headers(id, next_attempt))).await.unwrap();
+            send.send(message(attempt_headers(id, next_attempt, None))).await.unwrap();
             assert_eq!(immediate_response(&mut responses).await, (502, "errored".to_owned()), "{id}");
         }
     });
 }
+
+/// Guards against an attempt that is granted ahead for the proxy's retry and forwarded after engines have ceased to drop
+/// repeats.
+#[test]
+fn attempt_granted_ahead_is_not_forwarded_past_the_deduplication_window() {
+    const RETENTION: Duration = Duration::from_secs(2);
+    runtime().block_on(async {
+        let engines = [
+            HttpEngine::start(|_| HttpEngineBehavior::Serve).await,
+            HttpEngine::start(|_| HttpEngineBehavior::Serve).await,
+        ];
+        let addresses: Vec<SocketAddr> = engines.iter().map(|engine| engine.address).collect();
+        let toml = "recovers = false\nretry_within_ms = 3000";
+        // A retry inside the window is forwarded; one after its end is not.
+        for (id, retry_after, is_forwarded) in
+            [("keyed-1", RETENTION / 2, true), ("keyed-2", RETENTION + Duration::from_millis(100), false)]
+        {
+            let processor = Processor::with_start_file(&addresses, toml, |start_file| {
+                let class = &mut start_file["settings"]["classes"][1];
+                class["effect"] = "keyed".into();
+                class["key_ttl_us"] = (RETENTION.as_micros() as u64).into();
+            });
+            let proxy = Proxy::new(&[processor.address], None);
+            let (send, mut responses, _) = proxy.open(processor.address).await.unwrap();
+            send.send(message(attempt_headers(id, 1, None))).await.unwrap();
+            let token = verdict_token(&mut responses).await;
+            let started = Instant::now();
+            // The connection to the engine is reset well before the window ends, so that the next attempt is granted
+            // ahead. The proxy's retry comes later.
+            tokio::time::sleep(retry_after - RETENTION / 4).await;
+            drop((send, responses));
+            tokio::time::sleep(retry_after.saturating_sub(started.elapsed())).await;
+            let (send, mut responses, _) = proxy.open(processor.address).await.unwrap();
+            send.send(message(attempt_headers(id, 2, Some(&token)))).await.unwrap();
+            match is_forwarded {
+                true => drop(verdict_token(&mut responses).await),
+                false => assert_eq!(immediate_response(&mut responses).await, (502, "errored".to_owned())),
+            }
+        }
+    });
+}
--- a/crates/edges/cli/tests/proxies/mod.rs
+++ b/crates/edges/cli/tests/proxies/mod.rs
@@ -105,12 +105,23 @@
 
 impl Processor {
     pub fn new(engines: &[SocketAddr], extra_toml: &str) -> Processor {
+        Processor::with_start_file(engines, extra_toml, |_| ())
+    }
+
+    /// Starts a processor with a start file that the caller has changed.
+    pub fn with_start_file(
+        engines: &[SocketAddr],
+        extra_toml: &str,
+        change: impl FnOnce(&mut serde_json::Value),
+    ) -> Processor {
         let (reserved, closed_port) = (reserved_address(), ClosedPort::bind());
         let engine_addresses: Vec<(u32, SocketAddr)> =
             engines.iter().enumerate().map(|(number, address)| (number as u32 + 1, *address)).collect();
         let key = temp_path("tickets.key");
         std::fs::write(&key, "a key of the test's own").unwrap();
-        let start_file = start_config(&engine_addresses, closed_port.address).to_string();
+        let mut start_file = start_config(&engine_addresses, closed_port.address);
+        change(&mut start_file);
+        let start_file = start_file.to_string();
         let mut processor = Processor {
             front: None,
             address: reserved.address,
--- a/crates/edges/front/src/program/external_processing.rs
+++ b/crates/edges/front/src/program/external_processing.rs
@@ -11,7 +11,7 @@
 use futures_lite::FutureExt;
 use lemonusher::{Deployment, EndpointUpdateKind, EngineId, EngineState, LoadReporting, RequestId};
 use lemonusher_external_call::{
-    CallAction, CallConfig, CallRequest, CallResponse, ExternalCalls, FinalResponse, StreamId,
+    CallAction, CallConfig, CallRequest, CallResponse, ExternalCalls, FinalResponse, GrantedAttempt, StreamId,
 };
 use lemonusher_processor::{ProxyEvent, ProxyResponse};
 use lemonusher_routing::{Endpoint, EngineCommand, IncomingRequest, Response, ResponseSink, RouterEvent};
@@ -117,7 +117,7 @@
             BridgeEvent::Closed => return,
             BridgeEvent::Timer => bridge.calls.poll(now),
             BridgeEvent::ResponsesReady => bridge.handle_responses(now),
-            BridgeEvent::Command(command) => bridge.handle_command(command),
+            BridgeEvent::Command(command) => bridge.handle_command(now, command),
             BridgeEvent::Proxy(event) => bridge.handle_proxy_event(now, event),
         };
         bridge.execute(actions).await;
@@ -163,21 +163,27 @@
         actions
     }
 
-    fn handle_command(&mut self, command: EngineCommand) -> Vec<CallAction> {
+    fn handle_command(&mut self, now: Duration, command: EngineCommand) -> Vec<CallAction> {
         match command {
             EngineCommand::Send { token, engine, request, conditions, .. } => {
-                let timeout = conditions.until.saturating_duration_since(Instant::now());
-                self.calls.handle_attempt(&request, token, engine, timeout)
+                let since_start = |at: Instant| at.saturating_duration_since(self.started_at);
+                let granted = GrantedAttempt {
+                    token,
+                    engine,
+                    until: since_start(conditions.until),
+                    start_by: conditions.start_by.map(since_start),
+                };
+                self.calls.handle_attempt(now, &request, granted)
+            }
+            EngineCommand::Cancel(token) | EngineCommand::Withdraw(token) => {
+                self.calls.handle_withdrawal(token)
             }
             EngineCommand::Endpoints(kind, endpoints) => {
                 self.handle_endpoints(kind, endpoints);
                 Vec::new()
             }
-            // There are no probes here, and an attempt that a proxy has sent can't be changed or cancelled.
-            EngineCommand::Probe { .. }
-            | EngineCommand::SetPriority { .. }
-            | EngineCommand::Cancel(_)
-            | EngineCommand::Withdraw(_) => Vec::new(),
+            // There are no probes here, and an attempt that a proxy has sent can't be changed.
+            EngineCommand::Probe { .. } | EngineCommand::SetPriority { .. } => Vec::new(),
         }
     }
 
