Managed: nothing is appended to a log that a start would not find

Cause: Disk::compact replaced its handle after the last step that can fail. The rename before that had already taken the old file's name, so after a failed sync of the folder later commits went to an unlinked file.

Fix: the folder stays open, so its sync needs no descriptor. From the rename on there is no log until the folder is synced. After an error that leaves it unknown what a start would find, the next commit first writes all that was acknowledged to a new log, or is refused with the reason.

The file operations stand behind a small trait (file_system.rs). Records of a log that could not be undone were refused until a restart; now the log is written anew.

--- a/crates/edges/managed/src/disk.rs
+++ b/crates/edges/managed/src/disk.rs
@@ -1,13 +1,26 @@
-//! The write-ahead log on disk. A commit is acknowledged only after its record has been synced. If writing or syncing
-//! a record fails, the log is truncated to its previous length; if that fails too, all later appends are refused.
-
+//! The write-ahead log on disk. A commit is acknowledged only after its record has been synced.
+//!
+//! What a start finds after each step:
+//!
+//! | step | a start finds | after an error |
+//! | --- | --- | --- |
+//! | append: write | the log, perhaps with a part of the record, which recovery cuts off | truncated, in use |
+//! | append: sync | the log with or without the record | unknown |
+//! | compaction: create, write and sync the next log | the log; the next one is removed | in use |
+//! | compaction: rename | the old log or the new one, which recover the same state | unknown |
+//! | compaction: sync the folder | the new log | unknown |
+//!
+//! While it is unknown what a start finds, nothing is appended: the next record is preceded by a new compaction, which
+//! writes all that has been acknowledged to a new file. If that fails, the record is refused.
+
+use crate::file_system::{FileSystem, LogFile, RealFileSystem};
 use lemonusher_model::Schema;
 use lemonusher_store::{
     Bounds, HEADER, Record, Recovered, RecoveryError, Store, compact, encode_record, recover,
 };
 use std::fmt;
-use std::fs::{File, OpenOptions, TryLockError};
-use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::fs::TryLockError;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -21,16 +34,19 @@
 
 /// The write-ahead log of the store, in a folder that is locked against other processes.
 #[derive(Debug)]
-pub struct Disk {
+pub struct Disk<F: FileSystem = RealFileSystem> {
+    file_system: F,
     folder: PathBuf,
-    log: File,
+    /// Kept open, so that a rename can be made durable when no descriptor is free.
+    folder_handle: F::Folder,
+    /// The file that a start would find, with all acknowledged records and no other. None after an error that leaves
+    /// it unknown what a start would find.
+    log: Option<F::File>,
     /// The log's length in bytes.
     length: u64,
     /// The log's length in bytes when it was opened or last compacted.
     compacted_length: u64,
-    /// A failed append could not be undone: the log may end with an incomplete or unacknowledged record.
-    broken: bool,
-    _lock: File,
+    _lock: F::File,
 }
 
 /// The log can't be opened.
@@ -59,14 +75,25 @@
 impl Disk {
     /// Opens or creates the log, and recovers the store from it. An incomplete record at the end is truncated.
     pub fn open(folder: &Path, schema: Arc<Schema>, bounds: Bounds) -> Result<(Disk, Store), DiskError> {
-        std::fs::create_dir_all(folder).map_err(io_error(folder))?;
-        let lock = lock(folder)?;
-        remove_unfinished_compaction(folder)?;
+        Disk::open_on(RealFileSystem, folder, schema, bounds)
+    }
+}
+
+impl<F: FileSystem> Disk<F> {
+    /// Opens or creates the log on a file system.
+    fn open_on(
+        file_system: F,
+        folder: &Path,
+        schema: Arc<Schema>,
+        bounds: Bounds,
+    ) -> Result<(Disk<F>, Store), DiskError> {
+        file_system.create_folder(folder).map_err(io_error(folder))?;
+        let lock = lock(&file_system, folder)?;
+        let folder_handle = file_system.open_folder(folder).map_err(io_error(folder))?;
+        remove_unfinished_compaction(&file_system, folder)?;
         let path = folder.join(LOG_FILE);
-        let options = OpenOptions::new().read(true).write(true).create(true).truncate(false).clone();
-        let mut log = options.open(&path).map_err(io_error(&path))?;
-        let mut bytes = Vec::new();
-        log.read_to_end(&mut bytes).map_err(io_error(&path))?;
+        let mut log = file_system.open_file(&path).map_err(io_error(&path))?;
+        let bytes = log.read().map_err(io_error(&path))?;
         let recovered = recover(schema, bounds, &bytes);
         let Recovered { store, valid_length, records } =
             recovered.map_err(|error| DiskError::Recovery(path.clone(), error))?;
@@ -77,7 +104,7 @@
             );
         }
         let length = prepare_to_append(&mut log, valid_length as u64).map_err(io_error(&path))?;
-        sync_folder(folder).map_err(io_error(folder))?;
+        file_system.sync_folder(&folder_handle).map_err(io_error(folder))?;
         tracing::info!(
             records,
             version = store.running().number,
@@ -85,52 +112,57 @@
             path.display()
         );
         let folder = folder.to_owned();
-        let disk = Disk { folder, log, length, compacted_length: length, broken: false, _lock: lock };
-        Ok((disk, store))
+        let log = Some(log);
+        let compacted_length = length;
+        Ok((Disk { file_system, folder, folder_handle, log, length, compacted_length, _lock: lock }, store))
     }
 
-    /// Appends a record and syncs it. After an error the log is truncated to its previous length; if that fails too,
-    /// all further appends fail.
-    pub fn append(&mut self, record: &Record) -> io::Result<()> {
-        if self.broken {
-            // The text stays because clients receive it. The record may also be complete but not synced.
-            return Err(io::Error::other("an earlier record is half written and can't be taken back"));
+    /// Appends a record and syncs it. `store` holds what has been acknowledged so far. After an error the record is
+    /// not acknowledged: it is truncated, and where that or the sync fails, the log is written anew from the store
+    /// before the next record. While that fails too, all records are refused.
+    pub fn append(&mut self, store: &Store, record: &Record) -> io::Result<()> {
+        if self.log.is_none() {
+            self.compact(store).map_err(|error| {
+                io::Error::other(format!("the log can't be written anew after an earlier error: {error}"))
+            })?;
         }
+        let Some(log) = &mut self.log else { return Err(io::Error::other("the log is not open")) };
         let bytes = encode_record(record);
-        let written = self.log.write_all(&bytes).and_then(|()| self.log.sync_data());
-        match written {
-            Ok(()) => {
-                self.length += bytes.len() as u64;
-                Ok(())
-            }
-            Err(error) => {
-                // Any part of the record may be on disk. It is not acknowledged, so recovery must not find it.
-                let truncated = self.log.set_len(self.length);
-                let truncated = truncated.and_then(|()| self.log.seek(SeekFrom::Start(self.length)));
-                self.broken = truncated.and_then(|_| self.log.sync_all()).is_err();
-                Err(error)
-            }
+        let written = log.append(&bytes);
+        let is_written = written.is_ok();
+        let Err(error) = written.and_then(|()| log.sync()) else {
+            self.length += bytes.len() as u64;
+            return Ok(());
+        };
+        // Any part of the record may be in the file. It is not acknowledged, so recovery must not find it.
+        let undone = log.truncate(self.length).and_then(|()| log.sync());
+        // After a failed sync, what the file holds on disk is unknown even if a later sync succeeds.
+        if is_written || undone.is_err() {
+            self.log = None;
         }
+        Err(error)
     }
 
-    /// Whether the log has grown enough to be compacted; false once a failed append could not be undone.
+    /// Whether the log has grown enough to be compacted. A log that must be written anew is so before the next record.
     pub fn needs_compaction(&self) -> bool {
-        !self.broken
+        self.log.is_some()
             && self.length > MIN_COMPACTION_BYTES
             && self.length > self.compacted_length * COMPACTION_GROWTH
     }
 
-    /// Replaces the log with a compacted one that recovers the same state. The new file is synced and then renamed
-    /// over the old one, so a crash at any point leaves one or the other complete.
+    /// Replaces the log with a compacted one that recovers the same state. Until the rename, the old log is in use and
+    /// stays so after an error. From the rename until the folder is synced, a start may find either.
     pub fn compact(&mut self, store: &Store) -> io::Result<()> {
-        let bytes = compact(store);
         let next = self.folder.join(NEXT_LOG_FILE);
-        let mut file = OpenOptions::new().write(true).create(true).truncate(true).open(&next)?;
-        file.write_all(&bytes)?;
-        file.sync_all()?;
-        std::fs::rename(&next, self.folder.join(LOG_FILE))?;
-        sync_folder(&self.folder)?;
-        self.log = file;
+        let mut file = self.file_system.create_file(&next)?;
+        let bytes = compact(store);
+        file.append(&bytes)?;
+        file.sync()?;
+        // The old log has no name after the rename, so nothing may be appended to it whatever comes back.
+        self.log = None;
+        self.file_system.rename(&next, &self.folder.join(LOG_FILE))?;
+        self.file_system.sync_folder(&self.folder_handle)?;
+        self.log = Some(file);
         self.length = bytes.len() as u64;
         self.compacted_length = self.length;
         Ok(())
@@ -148,44 +180,39 @@
 }
 
 /// Locks a folder for this process, until the returned file is closed.
-fn lock(folder: &Path) -> Result<File, DiskError> {
+fn lock<F: FileSystem>(file_system: &F, folder: &Path) -> Result<F::File, DiskError> {
     let path = folder.join(LOCK_FILE);
-    let lock = File::create(&path).map_err(io_error(&path))?;
-    match lock.try_lock() {
-        Ok(()) => Ok(lock),
-        Err(TryLockError::WouldBlock) => Err(DiskError::InUse(folder.to_owned())),
-        Err(TryLockError::Error(error)) => Err(DiskError::Io(path, error)),
-    }
+    file_system.lock_file(&path).map_err(|error| match error {
+        TryLockError::WouldBlock => DiskError::InUse(folder.to_owned()),
+        TryLockError::Error(error) => DiskError::Io(path, error),
+    })
 }
 
 /// Deletes a compacted log that was not renamed into place before the process ended. The current log is complete.
-fn remove_unfinished_compaction(folder: &Path) -> Result<(), DiskError> {
+fn remove_unfinished_compaction<F: FileSystem>(file_system: &F, folder: &Path) -> Result<(), DiskError> {
     let path = folder.join(NEXT_LOG_FILE);
-    match std::fs::remove_file(&path) {
+    match file_system.remove_file(&path) {
         Err(error) if error.kind() != io::ErrorKind::NotFound => Err(DiskError::Io(path, error)),
         _ => Ok(()),
     }
 }
 
 /// Truncates a log to its valid part, writes the header if that is empty, and returns the length in bytes.
-fn prepare_to_append(log: &mut File, valid_length: u64) -> io::Result<u64> {
-    log.set_len(valid_length)?;
+fn prepare_to_append(log: &mut impl LogFile, valid_length: u64) -> io::Result<u64> {
+    log.truncate(valid_length)?;
     let mut length = valid_length;
     if length == 0 {
-        log.seek(SeekFrom::Start(0))?;
-        log.write_all(HEADER)?;
+        log.append(HEADER)?;
         length = HEADER.len() as u64;
     }
-    log.seek(SeekFrom::Start(length))?;
-    log.sync_all()?;
+    log.sync()?;
     Ok(length)
 }
 
-/// Syncs a folder: the creation or rename of a file survives a crash only once its folder is synced.
-fn sync_folder(folder: &Path) -> io::Result<()> {
-    File::open(folder)?.sync_all()
-}
-
 #[cfg(test)]
 #[path = "../tests/unit/disk.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "../tests/unit/disk_faults.rs"]
+mod fault_tests;
--- a/crates/edges/managed/src/hub.rs
+++ b/crates/edges/managed/src/hub.rs
@@ -267,10 +267,10 @@
 
     fn log(&self, plan: &CommitPlan) -> std::io::Result<()> {
         let mut core = self.core();
-        let record = core.disk.is_some().then(|| Record::commit(&self.schema, plan));
-        match (&mut core.disk, record) {
-            (Some(disk), Some(record)) => disk.append(&record),
-            _ => Ok(()),
+        let Core { store, disk, .. } = &mut *core;
+        match disk {
+            Some(disk) => disk.append(store, &Record::commit(&self.schema, plan)),
+            None => Ok(()),
         }
     }
 
@@ -284,10 +284,11 @@
         let mut core = self.core();
         let plan = core.store.plan_startup(session, from)?;
         let record = Record::startup(&self.schema, plan.tree.as_ref());
-        if let Some(disk) = &mut core.disk {
-            disk.append(&record).map_err(|error| StoreError::Failed(error.to_string()))?;
+        let Core { store, disk, .. } = &mut *core;
+        if let Some(disk) = disk {
+            disk.append(store, &record).map_err(|error| StoreError::Failed(error.to_string()))?;
         }
-        core.store.finish_startup(plan);
+        store.finish_startup(plan);
         Ok(())
     }
 
@@ -370,8 +371,7 @@
     }
 }
 
-/// Compacts the log if it has grown enough. If that fails before the new log is renamed into place, the old one stays
-/// in use.
+/// Compacts the log if it has grown enough. After an error the log says itself whether it may still be appended to.
 fn compact_if_needed(core: &mut Core) {
     let Some(disk) = core.disk.as_mut().filter(|disk| disk.needs_compaction()) else { return };
     if let Err(error) = disk.compact(&core.store) {
--- a/crates/edges/managed/src/start.rs
+++ b/crates/edges/managed/src/start.rs
@@ -206,7 +206,7 @@
     }
     for plan in plans.into_iter().flatten() {
         if let Some(disk) = disk {
-            disk.append(&Record::commit(schema, &plan)).map_err(StartError::Log)?;
+            disk.append(store, &Record::commit(schema, &plan)).map_err(StartError::Log)?;
         }
         tracing::info!(commit = plan.version.number, "commit at startup, cause: {}", plan.version.cause);
         store.finish_commit(plan);
--- a/crates/edges/managed/tests/unit/disk.rs
+++ b/crates/edges/managed/tests/unit/disk.rs
@@ -24,7 +24,7 @@
     let edit = Edit { op: Op::Merge, place, value: Some(Node::Leaf(cell.to_string().into())) };
     let plan =
         store.edit_running(session, &[edit], &CommitOptions::default(), Duration::ZERO, 0).unwrap().unwrap();
-    disk.append(&Record::commit(store.schema(), &plan)).unwrap();
+    disk.append(store, &Record::commit(store.schema(), &plan)).unwrap();
     store.finish_commit(plan);
     store.close_session(session);
 }
@@ -85,7 +85,7 @@
     assert!(store.startup().is_some() && store.pending().is_some_and(|pending| pending.orphaned));
     let plan = store.poll_timeout(Duration::ZERO, 3000).unwrap();
     let record = Record::commit(store.schema(), &plan);
-    disk.append(&record).unwrap();
+    disk.append(&store, &record).unwrap();
     store.finish_commit(plan);
     let mut wanted = log.to_vec();
     wanted.extend(encode_record(&record));
