--- a/crates/edges/cli/benches/managed.rs
+++ b/crates/edges/cli/benches/managed.rs
@@ -134,7 +134,7 @@
             .edit_running(session, &[edit], &CommitOptions::default(), Duration::ZERO, 0)
             .unwrap()
             .unwrap();
-        disk.append(&Record::commit(&schema, &plan)).unwrap();
+        disk.append(&store, &Record::commit(&schema, &plan)).unwrap();
         store.finish_commit(plan);
     }
     let length = disk.length();
