Maintenance: a release is told only under the lease that is held now

Cause: one poll expired the lease, sent what the coordinator knew as released, and only then passed it the present token; "active" was judged by the token of the last poll. The registers were those of the last lease.

Evidence: in virtual time, coordinator_that_wakes_past_its_lease_... fails with the token of the last poll put back; notification_is_not_sent_once_... with the check at the sending taken out.

Fix: the lease is asked for first and its token compared. A release is told only if its register was read under this lease and no change of it has an unknown outcome. A notification that waits carries its lease, which is asked for again with the clock read at the sending; so does a task's begin.

--- a/crates/core/maintenance/src/coordinator.rs
+++ b/crates/core/maintenance/src/coordinator.rs
@@ -142,9 +142,10 @@
         }
     }
 
-    /// Whether this front holds the lease.
-    pub fn is_active(&self) -> bool {
-        self.fencing_token.is_some()
+    /// Whether this coordinator acts under the lease with this fencing token, which is the one that its front holds
+    /// now; none if it holds none.
+    pub fn is_active_under(&self, fencing_token: Option<u64>) -> bool {
+        self.fencing_token.is_some() && self.fencing_token == fencing_token
     }
 
     /// Handles the committed value of a register, as a full round has shown it; none if the register is empty.
@@ -188,10 +189,12 @@
         &self.blocked
     }
 
-    /// Notices of all released machines. The caller sends them repeatedly until the machines are returned.
+    /// Notices of the released machines of all registers that have been read under this lease, and whose last write
+    /// has a known outcome. The caller sends them repeatedly until the machines are returned.
     pub fn released(&self) -> Vec<Notice> {
         let mut notices = Vec::new();
-        for (register, known) in &self.requests {
+        for (register, known) in self.requests.iter().filter(|(register, _)| !self.unread.contains(register))
+        {
             for status in &known.request.machines {
                 if let Phase::Released { fencing_token } = status.phase {
                     notices.push(Notice::Released {
--- a/crates/edges/fleet/src/actions.rs
+++ b/crates/edges/fleet/src/actions.rs
@@ -25,6 +25,35 @@
     actions: Vec<Action>,
 }
 
+/// The lease under which a notification is true.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct RequiredLease {
+    pub(crate) task: String,
+    pub(crate) fencing_token: u64,
+}
+
+impl RequiredLease {
+    fn is_active(&self, now: Duration, lease_client: &LeaseClient) -> bool {
+        let lease = lease_client.active_lease(now, &self.task);
+        lease.is_some_and(|lease| lease.fencing_token == self.fencing_token)
+    }
+}
+
+/// A notification that waits to be sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Notification {
+    pub(crate) datagram: Datagram,
+    /// None if it is true whatever has become of the lease.
+    pub(crate) lease: Option<RequiredLease>,
+}
+
+impl Notification {
+    /// Returns whether it may be sent now. This front may have stood still since it was queued.
+    pub(crate) fn may_be_sent(&self, now: Duration, lease_client: &LeaseClient) -> bool {
+        self.lease.as_ref().is_none_or(|lease| lease.is_active(now, lease_client))
+    }
+}
+
 /// A resource's report that it has seen a higher fencing token for a task and rejects the older one.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TokenRejection {
@@ -53,20 +82,21 @@
 
     /// Begins the actions that are due and allowed, and ends those whose time is over. Returns the
     /// notifications of both.
-    pub(crate) fn poll(&mut self, now: Duration, lease_client: &LeaseClient) -> Vec<Datagram> {
+    pub(crate) fn poll(&mut self, now: Duration, lease_client: &LeaseClient) -> Vec<Notification> {
         self.actions.iter_mut().filter_map(|action| action.poll(now, lease_client)).collect()
     }
 }
 
 impl Action {
-    fn poll(&mut self, now: Duration, lease_client: &LeaseClient) -> Option<Datagram> {
+    fn poll(&mut self, now: Duration, lease_client: &LeaseClient) -> Option<Notification> {
         let to = self.task.notify?;
         if let Some(running) = self.running {
             if running.ends > now {
                 return None;
             }
             self.running = None;
-            return Some(self.notification(to, lease_client, running.fencing_token, "end"));
+            let datagram = self.datagram(to, lease_client, running.fencing_token, "end");
+            return Some(Notification { datagram, lease: None });
         }
         let lease = lease_client.active_lease(now, &self.task.name)?;
         let ends = now + self.task.action_time;
@@ -76,10 +106,12 @@
         let fencing_token = lease.fencing_token;
         self.next_start = now + self.task.interval;
         self.running = Some(RunningAction { fencing_token, ends });
-        Some(self.notification(to, lease_client, fencing_token, "begin"))
+        let datagram = self.datagram(to, lease_client, fencing_token, "begin");
+        let lease = RequiredLease { task: self.task.name.clone(), fencing_token };
+        Some(Notification { datagram, lease: Some(lease) })
     }
 
-    fn notification(
+    fn datagram(
         &self,
         to: SocketAddr,
         lease_client: &LeaseClient,
--- a/crates/edges/fleet/src/maintenance.rs
+++ b/crates/edges/fleet/src/maintenance.rs
@@ -3,6 +3,7 @@
 //! configured address of machines that are released for work.
 
 use crate::Datagram;
+use crate::actions::{Notification, RequiredLease};
 use crate::body::{Body, StoredRequest};
 use crate::zone_failover::FleetLoad;
 use lemonusher_maintenance::{
@@ -61,7 +62,7 @@
     /// For the voters: machines that this front has drained.
     pub(crate) confirmations: Vec<DrainConfirmation>,
     /// For the configured address: notifications of released machines.
-    pub(crate) released: Vec<Datagram>,
+    pub(crate) released: Vec<Notification>,
 }
 
 /// An operation to propose on a register.
@@ -155,35 +156,43 @@
         }
     }
 
-    /// Returns the messages to send, once per poll interval.
-    pub(crate) fn poll_report(&mut self, now: Duration) -> Option<Report> {
+    /// Returns the messages to send, once per poll interval. `fencing_token` is that of the coordinator's lease; none
+    /// while this front does not hold it.
+    pub(crate) fn poll_report(&mut self, now: Duration, fencing_token: Option<u64>) -> Option<Report> {
         if now < self.next_report {
             return None;
         }
         self.next_report = now + self.config.poll_interval;
         let confirmations =
             self.participant.next_confirmations(self.applied_version, &self.in_flight, MAX_CONFIRMATIONS);
-        Some(Report { confirmations, released: self.released() })
+        Some(Report { confirmations, released: self.released(fencing_token) })
     }
 
-    /// Notifications of all machines that are currently released; none unless this front is the active
-    /// coordinator.
-    fn released(&self) -> Vec<Datagram> {
-        let Some((to, coordinator)) = self.notify.zip(self.active_coordinator()) else { return Vec::new() };
-        let datagrams = coordinator.released().into_iter().filter_map(|notice| match notice {
+    /// Notifications of the machines that are released; none unless this front is the active coordinator.
+    fn released(&self, fencing_token: Option<u64>) -> Vec<Notification> {
+        let coordinator = self.active_coordinator(fencing_token);
+        let Some(((to, coordinator), lease_token)) = self.notify.zip(coordinator).zip(fencing_token) else {
+            return Vec::new();
+        };
+        let notifications = coordinator.released().into_iter().filter_map(|notice| match notice {
             Notice::Released { request, machine, fencing_token } => {
                 let machine = format!("{machine:08x}");
                 let message =
                     serde_json::json!({"work": request, "machine": machine, "number": fencing_token});
-                Some(Datagram { to, bytes: message.to_string().into_bytes() })
+                let datagram = Datagram { to, bytes: message.to_string().into_bytes() };
+                let lease = RequiredLease { task: LEASE.to_owned(), fencing_token: lease_token };
+                Some(Notification { datagram, lease: Some(lease) })
             }
             _ => None,
         });
-        datagrams.collect()
+        notifications.collect()
     }
 
-    fn active_coordinator(&self) -> Option<&MaintenanceCoordinator> {
-        self.coordinator.as_ref().filter(|coordinator| coordinator.is_active())
+    /// The coordinator, if it acts under the lease that this front holds now. Since its last poll the lease may have
+    /// ended, or begun anew under another token.
+    fn active_coordinator(&self, fencing_token: Option<u64>) -> Option<&MaintenanceCoordinator> {
+        let is_active = |coordinator: &&MaintenanceCoordinator| coordinator.is_active_under(fencing_token);
+        self.coordinator.as_ref().filter(is_active)
     }
 
     pub(crate) fn handle_confirmations(&mut self, front: &str, confirmations: &[DrainConfirmation]) {
@@ -232,9 +241,10 @@
     }
 
     /// The committed request that this front follows, and, at the coordinator, the reason why it makes no
-    /// progress.
-    pub(crate) fn show(&self, request: u8) -> Body {
-        let blocked = self.active_coordinator().map(MaintenanceCoordinator::blocked).unwrap_or_default();
+    /// progress. `fencing_token` is that of the coordinator's lease; none while this front does not hold it.
+    pub(crate) fn show(&self, request: u8, fencing_token: Option<u64>) -> Body {
+        let coordinator = self.active_coordinator(fencing_token);
+        let blocked = coordinator.map(MaintenanceCoordinator::blocked).unwrap_or_default();
         let blocked_reason = blocked.iter().find_map(|notice| match notice {
             Notice::Blocked { request: blocked, machine, reason } if *blocked == request => {
                 Some(format!("{machine:08x}: {reason}").chars().take(MAX_REASON_CHARS).collect())
@@ -246,7 +256,7 @@
             request,
             stored: stored
                 .map(|stored| StoredRequest { version: stored.version, value: stored.request.to_bytes() }),
-            is_coordinator: self.active_coordinator().is_some(),
+            is_coordinator: coordinator.is_some(),
             blocked_reason,
         }
     }
--- a/crates/edges/fleet/src/node/control_plane.rs
+++ b/crates/edges/fleet/src/node/control_plane.rs
@@ -36,13 +36,14 @@
         if let Some(update) = maintenance.poll_update(now, &self.learner) {
             self.update_router(update);
         }
-        if let Some(report) = maintenance.poll_report(now) {
+        // One token for the whole poll: what follows is done under the lease that this front holds now.
+        let fencing_token = self.fencing_token(now, maintenance::LEASE);
+        if let Some(report) = maintenance.poll_report(now, fencing_token) {
             self.outgoing_actions.extend(report.released);
             if !report.confirmations.is_empty() {
                 self.send_to_voters(&Body::DrainConfirmations(report.confirmations));
             }
         }
-        let fencing_token = self.fencing_token(now, maintenance::LEASE);
         // Waits until no proposal on a maintenance register is running. A new proposal on the same register would end
         // a running one with an unknown outcome, and that outcome would be taken for the new proposal's: a coordinator
         // that lost its lease and reacquired it would restart again and again.
--- a/crates/edges/fleet/src/node/mod.rs
+++ b/crates/edges/fleet/src/node/mod.rs
@@ -14,7 +14,7 @@
 
 pub use stats::ClusterStats;
 
-use crate::actions::{FencedActions, TokenRejection};
+use crate::actions::{FencedActions, Notification, TokenRejection};
 use crate::body::MessageKind;
 use crate::channel::AuthenticatedChannel;
 use crate::maintenance::{self, Maintenance};
@@ -92,7 +92,7 @@
     maintenance: Option<Maintenance>,
     members_lost: u64,
     outgoing: Vec<Message>,
-    outgoing_actions: Vec<Datagram>,
+    outgoing_actions: Vec<Notification>,
     control_updates: Vec<ControlUpdate>,
 }
 
@@ -210,9 +210,12 @@
     }
 
     /// Takes the notifications for resources, and of released machines, that were queued since the last call,
-    /// in order.
-    pub fn take_actions(&mut self) -> Vec<Datagram> {
-        std::mem::take(&mut self.outgoing_actions)
+    /// in order. `now` is the time at which they are sent: one whose lease has ended since it was queued is dropped.
+    pub fn take_actions(&mut self, now: Duration) -> Vec<Datagram> {
+        let queued = std::mem::take(&mut self.outgoing_actions).into_iter();
+        let lease_client = &self.lease_client;
+        let sent = queued.filter(|notification| notification.may_be_sent(now, lease_client));
+        sent.map(|notification| notification.datagram).collect()
     }
 
     /// Takes the updates for this front's router that were queued since the last call, in order.
--- a/crates/edges/fleet/src/node/show.rs
+++ b/crates/edges/fleet/src/node/show.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use crate::body::{Body, LeaseRow, MAX_ROWS, MemberCursor, MemberRow, RegisterRow};
+use crate::maintenance;
 use lemonusher_leases::Voter;
 use lemonusher_registers::{Acceptor, AcceptorState};
 use std::time::Duration;
@@ -10,7 +11,10 @@
     /// The reply to an operator's request; none if this front does not have the requested state.
     pub(super) fn show(&self, now: Duration, request: Body) -> Option<Body> {
         match request {
-            Body::ShowMaintenance { request } => Some(self.maintenance.as_ref()?.show(request)),
+            Body::ShowMaintenance { request } => {
+                let fencing_token = self.fencing_token(now, maintenance::LEASE);
+                Some(self.maintenance.as_ref()?.show(request, fencing_token))
+            }
             Body::ShowPlan { without } => self.zone_failover.as_ref()?.show(&without),
             Body::ShowLeases { after } => Some(show_leases(self.voter.as_ref()?, now, &after)),
             Body::ShowMembers { after } => Some(self.show_members(&after)),
--- a/crates/edges/fleet/src/thread.rs
+++ b/crates/edges/fleet/src/thread.rs
@@ -165,7 +165,7 @@
                 add(&self.counters.sent_bytes, bytes.len());
             }
         }
-        for Datagram { to, bytes } in self.node.take_actions() {
+        for Datagram { to, bytes } in self.node.take_actions(self.now()) {
             let _ = self.actions.send_to(&bytes, to);
         }
         for update in self.node.take_control_updates() {
--- a/crates/edges/fleet/tests/nodes.rs
+++ b/crates/edges/fleet/tests/nodes.rs
@@ -4,9 +4,10 @@
 
 use lemonusher_fleet::*;
 use lemonusher_leases::{Ballot, Incarnation, LeaseConfig, LeaseReply, LeaseRequest};
+use lemonusher_maintenance::{MaintenanceRequest, Phase};
 use lemonusher_registers::{self as registers, Entry, EntryVersion};
 use lemonusher_zone_failover as zones;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +17,10 @@
 /// Longer than the time for which voters without a state folder are silent after their start.
 const SILENT_TIME: Duration = Duration::from_secs(3);
 const VOTERS: usize = 3;
+/// Index of the address that is notified of released machines. No node has it.
+const NOTIFIED: usize = 99;
+/// A machine under maintenance.
+const MACHINE: u32 = 0x1a;
 /// Length in bytes of a long value.
 const VALUE_BYTES: usize = 800;
 
@@ -66,7 +71,7 @@
             classes: Vec::new(),
             observations,
         }),
-        maintenance: Some(MaintenanceSettings { config: maintenance, notify: None }),
+        maintenance: Some(MaintenanceSettings { config: maintenance, notify: Some(address(NOTIFIED)) }),
     }
 }
 
@@ -93,6 +98,10 @@
     started_at: Vec<Duration>,
     /// Number of messages sent, by node and kind.
     sent: BTreeMap<(usize, MessageKind), usize>,
+    /// Nodes that stand still.
+    stopped: BTreeSet<usize>,
+    /// Notifications sent since they were last taken, with the node that sent each.
+    notifications: Vec<(usize, Datagram)>,
 }
 
 impl ReversedNetwork {
@@ -105,6 +114,8 @@
             now: Duration::ZERO,
             started_at,
             sent: BTreeMap::new(),
+            stopped: BTreeSet::new(),
+            notifications: Vec::new(),
         }
     }
 
@@ -125,12 +136,18 @@
         self.now += STEP;
         for (from, datagram) in std::mem::take(&mut self.in_flight).into_iter().rev() {
             let to = (0..self.nodes.len()).find(|index| address(*index) == datagram.to);
-            if let Some(index) = to {
+            if let Some(index) = to.filter(|index| !self.stopped.contains(index)) {
                 self.nodes[index].handle_datagram(self.now - self.started_at[index], from, &datagram.bytes);
             }
         }
         for (index, node) in self.nodes.iter_mut().enumerate() {
-            node.poll(self.now - self.started_at[index]);
+            if self.stopped.contains(&index) {
+                continue;
+            }
+            let now = self.now - self.started_at[index];
+            node.poll(now);
+            let notifications = node.take_actions(now);
+            self.notifications.extend(notifications.into_iter().map(|datagram| (index, datagram)));
             for Message { kind, datagram } in node.take_outgoing() {
                 *self.sent.entry((index, kind)).or_default() += 1;
                 self.in_flight.push((address(index), datagram));
@@ -139,6 +156,81 @@
     }
 }
 
+impl ReversedNetwork {
+    /// Commits a maintenance request of one machine at all voters.
+    fn commit_request(&mut self, counter: u64, phase: Phase) {
+        let mut request = MaintenanceRequest::new("ann", 1, 1, 3600, &[MACHINE]);
+        request.machines[0].phase = phase;
+        let entry = Entry {
+            version: EntryVersion { epoch: u64::MAX - 1, counter },
+            fencing_token: 1,
+            value: request.to_bytes(),
+        };
+        let name = "works.0".to_owned();
+        // Above the ballots of the reads of all coordinators so far.
+        let ballot = Ballot { round: counter << 40, proposer: 5 };
+        let accept = registers::RegisterRequest::Accept { name, ballot, entry };
+        let bytes = sealed(counter, Body::RegisterRequest(accept));
+        for index in 0..VOTERS {
+            self.nodes[index].handle_datagram(self.now - self.started_at[index], address(9), &bytes);
+        }
+    }
+
+    /// The nodes that have sent notifications since they were last taken.
+    fn take_notifying(&mut self) -> BTreeSet<usize> {
+        self.notifications.drain(..).map(|(index, _)| index).collect()
+    }
+}
+
+/// Guards against a coordinator of maintenance that stood still past its lease and, when it goes on, first notifies of a
+/// machine that has been drained again since.
+#[test]
+fn coordinator_that_wakes_past_its_lease_notifies_of_no_earlier_release() {
+    let mut fleet = ReversedNetwork::new(VOTERS);
+    fleet.run_for(SILENT_TIME);
+    fleet.commit_request(1, Phase::Released { fencing_token: 1 });
+    fleet.run_for(SILENT_TIME);
+    let notifying = fleet.take_notifying();
+    assert_eq!(notifying.len(), 1, "one coordinator notifies of the released machine: {notifying:?}");
+    // It stands still; another one takes the lease over.
+    fleet.stopped = notifying.clone();
+    fleet.run_for(LEASE * 4);
+    let successor = fleet.take_notifying();
+    assert_eq!(successor.len(), 1, "{successor:?}");
+    assert!(successor.is_disjoint(&notifying));
+    // The machine has come back and drains again, as the successor knows. The first one goes on.
+    fleet.commit_request(2, Phase::Draining);
+    fleet.run_for(LEASE);
+    fleet.take_notifying();
+    fleet.stopped.clear();
+    fleet.run_for(SILENT_TIME);
+    assert_eq!(fleet.take_notifying(), BTreeSet::new());
+}
+
+/// Guards against notifications that were queued under a lease and are sent after a stand-still, when it has ended.
+#[test]
+fn notification_is_not_sent_once_its_lease_has_ended() {
+    let mut fleet = ReversedNetwork::new(VOTERS);
+    fleet.run_for(SILENT_TIME);
+    fleet.commit_request(1, Phase::Released { fencing_token: 1 });
+    fleet.run_for(SILENT_TIME);
+    let coordinator = fleet.take_notifying().pop_first().expect("a coordinator");
+    let mut queued = 0;
+    for _ in 0..100 {
+        fleet.now += STEP;
+        fleet.nodes[coordinator].poll(fleet.now);
+        queued += fleet.nodes[coordinator].take_actions(fleet.now).len();
+        if queued > 0 {
+            break;
+        }
+    }
+    assert_eq!(queued, 1, "it notifies while it holds the lease");
+    // The same, but the node stands still between its poll and the sending.
+    fleet.now += Duration::from_millis(100);
+    fleet.nodes[coordinator].poll(fleet.now);
+    assert_eq!(fleet.nodes[coordinator].take_actions(fleet.now + LEASE * 3), []);
+}
+
 #[test]
 fn watching_many_registers_costs_one_datagram_per_voter_and_poll() {
     let mut fleet = ReversedNetwork::new(VOTERS + 1);
--- a/crates/tools/scale/src/fleet/hollow.rs
+++ b/crates/tools/scale/src/fleet/hollow.rs
@@ -94,26 +94,26 @@
         let (local, began) = (self.local_time(now), thread_time());
         self.node.handle_datagram(local, from, bytes);
         self.node.poll(local);
-        self.take_messages(began)
+        self.take_messages(local, began)
     }
 
     /// Runs the timers that are due; returns the messages to send.
     pub fn poll(&mut self, now: Duration) -> Vec<Message> {
         let (local, began) = (self.local_time(now), thread_time());
         self.node.poll(local);
-        self.take_messages(began)
+        self.take_messages(local, began)
     }
 
     /// Releases all leases and leaves the fleet, as a front does on a graceful stop; returns the messages to send.
     pub fn leave(&mut self, now: Duration) -> Vec<Message> {
         let (local, began) = (self.local_time(now), thread_time());
         self.node.leave(local);
-        self.take_messages(began)
+        self.take_messages(local, began)
     }
 
-    fn take_messages(&mut self, began: Duration) -> Vec<Message> {
+    fn take_messages(&mut self, local: Duration, began: Duration) -> Vec<Message> {
         let sent = self.node.take_outgoing();
-        drop((self.node.take_control_updates(), self.node.take_actions()));
+        drop((self.node.take_control_updates(), self.node.take_actions(local)));
         self.processor += thread_time().saturating_sub(began);
         for message in &sent {
             self.traffic.count_sent(message.kind, message.datagram.bytes.len());
