Managed: reads of the state do not wait without end for a full queue

Fix: one limit over the lock, the send and the reply, after which the reader gets the state without the router's part, as with a router that does not reply.

Test: three readers behind a full queue, in virtual time. Without the fix they get no answer in ten times the limit; with it all within the limit.

--- a/crates/edges/managed/src/hub.rs
+++ b/crates/edges/managed/src/hub.rs
@@ -327,9 +327,13 @@
         }
     }
 
-    /// The request router's state, no older than `freshness`. None if the router has ended, or if it doesn't reply
-    /// within [`PART_TIMEOUT`] after the call was queued; the wait for space in the queue has no timeout.
+    /// The request router's state, no older than `freshness`. None if the router has ended, or if there is none within
+    /// [`PART_TIMEOUT`], whether its queue is full, it doesn't reply, or an earlier reader still waits for it.
     async fn snapshot(&self) -> Option<Arc<Snapshot>> {
+        tokio::time::timeout(PART_TIMEOUT, self.read_snapshot()).await.ok()?
+    }
+
+    async fn read_snapshot(&self) -> Option<Arc<Snapshot>> {
         let mut cached = self.cached_snapshot.lock().await;
         if let Some(CachedSnapshot { taken_at, snapshot }) = &*cached
             && taken_at.elapsed() < self.freshness
@@ -338,8 +342,7 @@
         }
         let (reply, answer) = async_channel::bounded(1);
         self.requests.send(ManagementCall::Read { reply }).await.ok()?;
-        let snapshot = tokio::time::timeout(PART_TIMEOUT, answer.recv()).await.ok()?.ok()?;
-        let snapshot = Arc::new(snapshot);
+        let snapshot = Arc::new(answer.recv().await.ok()?);
         *cached = Some(CachedSnapshot { taken_at: Instant::now(), snapshot: snapshot.clone() });
         Some(snapshot)
     }
@@ -383,3 +386,7 @@
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/hub.rs"]
+mod tests;
