Front tests: attempts that a stand-still of the front crosses

Three orders of events that could explain it are forced on sockets: a decision that is due, a connection that comes up, and an attempt that ends, each during the stand-still in which the client leaves.

--- a/crates/edges/front/tests/races.rs
+++ b/crates/edges/front/tests/races.rs
@@ -428,3 +428,85 @@
     assert_eq!(stream.read(&mut [0; 16]).map_err(|e| e.kind()), Ok(0));
     assert!(stream.take_error().unwrap().is_none());
 }
+
+/// Guards against an attempt that begins after its client has left, because a front that stood still decides before it
+/// reads what has arrived meanwhile.
+#[test]
+fn attempt_that_is_due_during_a_stand_still_is_not_sent_for_a_client_that_left_meanwhile() {
+    const TICK: Duration = Duration::from_millis(500);
+    for round in 0..2 {
+        let (front, engine, _discovery) = front_with_one_engine(|config| {
+            config["settings"]["tick_us"] = json!(TICK.as_micros() as u64);
+            config["settings"]["classes"][0]["aim_us"] = json!(20_000_000);
+        });
+        let (mut client, mut other) = (front.client(), front.client());
+        assert!(client.is_ready() && other.is_ready());
+        // A decision has just been made, so the next request waits for the next one.
+        other.send_request(1, "look-up");
+        engine.next_message("serve").respond("HIT", "fetches=1", b"a\tb\tc\n");
+        other.expect_result(1, b"a\tb\tc\n");
+        let request = client.send_request(1, "look-up");
+        assert!(client.is_ready());
+        front.freeze();
+        drop(client);
+        std::thread::sleep(TICK * 2);
+        front.signal("CONT");
+        let new_request = other.send_request(2, "look-up");
+        let first = engine.next_message("serve");
+        assert_ne!(first.id, request, "round {round}");
+        assert_eq!(first.id, new_request);
+    }
+}
+
+/// The same for an attempt that waits for a connection, which comes up during the stand-still.
+#[test]
+fn attempt_whose_connection_comes_up_during_a_stand_still_is_not_sent_for_a_client_that_left_meanwhile() {
+    for round in 0..2 {
+        let (unconnectable, discovery) = (UnconnectableEngine::start(), DiscoveryServer::start());
+        let mut config = start_config(&[(1, unconnectable.address)], discovery.address);
+        config["settings"]["ceilings"]["connect_timeout_us"] = json!(10_000_000);
+        let front = Front::start(FRONT, &config);
+        let (mut client, mut other) = (front.client(), front.client());
+        assert!(client.is_ready() && other.is_ready());
+        let request = client.send_request(1, "look-up");
+        assert!(client.is_ready());
+        std::thread::sleep(Duration::from_millis(100));
+        front.freeze();
+        let engine = unconnectable.accept_connections();
+        drop(client);
+        std::thread::sleep(Duration::from_millis(300));
+        front.signal("CONT");
+        let new_request = other.send_request(2, "look-up");
+        let first = engine.next_message("serve");
+        assert_ne!(first.id, request, "round {round}");
+        assert_eq!(first.id, new_request);
+    }
+}
+
+/// The same for a retry: the engine closes its connection during the stand-still, and the client leaves after that.
+/// If the client stays, there is a retry.
+#[test]
+fn attempt_that_ends_during_a_stand_still_is_not_retried_for_a_client_that_left_meanwhile() {
+    const PAUSE: Duration = Duration::from_millis(100);
+    for leaves in [false, true, true, true, true] {
+        let (engines, discovery) = ([Engine::start(), Engine::start()], DiscoveryServer::start());
+        let listed = [(1, engines[0].address), (2, engines[1].address)];
+        let mut config = start_config(&listed, discovery.address);
+        config["settings"]["classes"][0]["aim_us"] = json!(20_000_000);
+        let front = Front::start(FRONT, &config);
+        let mut client = front.client();
+        assert!(client.is_ready());
+        let request = client.send_request(1, "look-up");
+        let received = || engines.iter().find_map(|engine| engine.try_next_request(PAUSE));
+        let first = std::iter::repeat_with(received).flatten().next().unwrap();
+        assert_eq!(first.id, request);
+        front.freeze();
+        first.close_connection();
+        std::thread::sleep(PAUSE);
+        let staying = Some(client).filter(|_| !leaves);
+        std::thread::sleep(PAUSE * 3);
+        front.signal("CONT");
+        assert_eq!(received().or_else(received).is_some(), !leaves);
+        drop(staying);
+    }
+}
