--- a/crates/edges/front/tests/races.rs
+++ b/crates/edges/front/tests/races.rs
@@ -434,7 +434,8 @@
 #[test]
 fn attempt_that_is_due_during_a_stand_still_is_not_sent_for_a_client_that_left_meanwhile() {
     const TICK: Duration = Duration::from_millis(500);
-    for round in 0..2 {
+    let mut rounds = 0;
+    while rounds < 2 {
         let (front, engine, _discovery) = front_with_one_engine(|config| {
             config["settings"]["tick_us"] = json!(TICK.as_micros() as u64);
             config["settings"]["classes"][0]["aim_us"] = json!(20_000_000);
@@ -448,13 +449,18 @@
         let request = client.send_request(1, "look-up");
         assert!(client.is_ready());
         front.freeze();
+        // On a busy machine the front may have decided before it stopped. Such a round shows nothing.
+        if engine.try_next_request(TICK / 5).is_some() {
+            continue;
+        }
         drop(client);
         std::thread::sleep(TICK * 2);
         front.signal("CONT");
         let new_request = other.send_request(2, "look-up");
         let first = engine.next_message("serve");
-        assert_ne!(first.id, request, "round {round}");
+        assert_ne!(first.id, request, "round {rounds}");
         assert_eq!(first.id, new_request);
+        rounds += 1;
     }
 }
 
