Soak: an attempt counts from its arrival, not from when an engine's thread ran

Cause: the engine's thread took the time when it handled the message. The driver's delay is that of one sleeping thread, which is woken first; threads of busy engines were up to 0.16 s late meanwhile.

Change: the check was wrong and is replaced by one as strict: the engine states the earliest time at which the kernel can have received the message, and the rule on clients that left allows nothing for the driver's delay any more.

--- a/crates/testing/soak/src/engine.rs
+++ b/crates/testing/soak/src/engine.rs
@@ -1,14 +1,15 @@
 //! Fake engines that serve or fail at random, by their drawn health, and record every attempt that they receive.
 
+use crate::arrival::TimedReader;
 use crate::recorder::Recorder;
 use crate::records::AttemptRecord;
 use crate::scenario::EngineHealth;
 use std::collections::BTreeSet;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 /// Longest service time of an attempt at a good engine, in milliseconds.
 const MAX_SERVICE_MS: u64 = 40;
@@ -46,7 +47,9 @@
     let recorder = recorder.clone();
     let mut seeds = fastrand::Rng::with_seed(seed ^ (u64::from(engine) << 32));
     thread::spawn(move || {
+        let mut accepting_since = SystemTime::now();
         for stream in listener.incoming().map_while(Result::ok) {
+            let connected_from = std::mem::replace(&mut accepting_since, SystemTime::now());
             if recorder.has_ended() {
                 return;
             }
@@ -58,12 +61,18 @@
                 rng: seeds.fork(),
                 cancelled: BTreeSet::new(),
             };
-            thread::spawn(move || connection.serve(stream));
+            thread::spawn(move || connection.serve(stream, connected_from));
         }
     });
     address
 }
 
+/// The number of bytes that follow a line: the statement of an attempt, and its line end.
+fn body_length(line: &str) -> usize {
+    let statement_length = || line.rsplit(' ').next()?.parse::<usize>().ok();
+    if line.starts_with("serve ") { statement_length().unwrap_or(0) + 2 } else { 0 }
+}
+
 struct Connection {
     recorder: Arc<Recorder>,
     engine: u32,
@@ -73,20 +82,16 @@
 }
 
 impl Connection {
-    fn serve(mut self, stream: TcpStream) {
+    fn serve(mut self, stream: TcpStream, connected_from: SystemTime) {
         let Ok(reading) = stream.try_clone() else { return };
-        let mut lines = BufReader::new(reading);
-        let mut line = String::new();
-        while lines.read_line(&mut line).is_ok_and(|length| length > 0) {
-            let words: Vec<&str> = line.trim_end().split(' ').collect();
+        let Ok(mut messages) = TimedReader::new(reading, connected_from) else { return };
+        while let Some(message) = messages.next_message(body_length) {
+            let words: Vec<&str> = message.line.split(' ').collect();
             let [verb, id, ..] = words[..] else { return };
             match verb {
                 "serve" => {
-                    let length = words.last().and_then(|word| word.parse::<usize>().ok()).unwrap_or(0);
-                    if lines.read_exact(&mut vec![0; length + 2]).is_err() {
-                        return;
-                    }
-                    self.handle_attempt(id, &stream);
+                    let at = self.recorder.time_of(message.received_from);
+                    self.handle_attempt(id, at, &stream);
                 }
                 "cancel" => drop(self.cancelled.insert(id.to_owned())),
                 "read" if self.cancelled.contains(id) => {
@@ -95,13 +100,11 @@
                 "gauges" | "health" => self.reply(&stream, format!("{id} PONG use=util:0.10 0\r\n\r\n")),
                 _ => {}
             }
-            line.clear();
         }
     }
 
-    fn handle_attempt(&mut self, id: &str, stream: &TcpStream) {
+    fn handle_attempt(&mut self, id: &str, at: Duration, stream: &TcpStream) {
         let behavior = draw(self.health, &mut self.rng);
-        let at = self.recorder.now();
         let ran = behavior != Behavior::Reject;
         self.recorder.add_attempt(AttemptRecord { engine: self.engine, call: id.to_owned(), at, ran });
         match behavior {
--- a/crates/testing/soak/src/judge.rs
+++ b/crates/testing/soak/src/judge.rs
@@ -1,5 +1,5 @@
-//! Checks a recording against the rules that a front must keep. The timing rules, except that on
-//! readiness, allow for the driver's own delay.
+//! Checks a recording against the rules that a front must keep. The timing rules, except those on readiness and on
+//! clients that left, allow for the driver's own delay.
 
 use crate::records::{ProcessRecord, Recording, RequestClass, RequestRecord, ResponseKind};
 use std::collections::BTreeMap;
@@ -173,7 +173,9 @@
         .filter_map(|request| Some((request.call.as_str(), request.client_left_at?)))
         .collect();
     let late = recording.attempts.iter().filter_map(|attempt| {
-        let allowed = *left.get(attempt.call.as_str())? + DISCONNECT_SLACK + recording.driver_delay;
+        // Neither time can be late to the front's disadvantage: the driver's own delay makes the client's later, and the
+        // attempt's is a lower bound.
+        let allowed = *left.get(attempt.call.as_str())? + DISCONNECT_SLACK;
         let detail = format!(
             "{} at engine {}, {:?} too late",
             attempt.call,
--- a/crates/testing/soak/src/lib.rs
+++ b/crates/testing/soak/src/lib.rs
@@ -7,6 +7,7 @@
 
 #![warn(missing_docs)]
 
+mod arrival;
 mod clients;
 mod discovery;
 mod engine;
@@ -19,6 +20,7 @@
 mod run;
 mod scenario;
 
+pub use arrival::{TimedMessage, TimedReader};
 pub use judge::{Rule, Violation, find_violations};
 pub use records::{
     AttemptRecord, DrainRecord, ProcessRecord, Recording, RequestClass, RequestRecord, ResponseKind,
--- a/crates/testing/soak/src/recorder.rs
+++ b/crates/testing/soak/src/recorder.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Requested sleep time. The driver's scheduling delay is the time by which the sleep exceeds it.
 const DELAY_PERIOD: Duration = Duration::from_millis(2);
@@ -12,6 +12,8 @@
 /// The records of one run.
 pub(crate) struct Recorder {
     origin: Instant,
+    /// Wall-clock time of `origin`.
+    system_origin: SystemTime,
     recording: Mutex<Recording>,
     delay_us: AtomicU64,
     /// Whether the run is over; all threads then end.
@@ -22,6 +24,7 @@
     pub(crate) fn start() -> Arc<Recorder> {
         let recorder = Arc::new(Recorder {
             origin: Instant::now(),
+            system_origin: SystemTime::now(),
             recording: Mutex::default(),
             delay_us: AtomicU64::new(0),
             ended: AtomicBool::new(false),
@@ -44,6 +47,11 @@
         self.origin.elapsed()
     }
 
+    /// Converts a wall-clock time that is not in the future.
+    pub(crate) fn time_of(&self, at: SystemTime) -> Duration {
+        at.duration_since(self.system_origin).unwrap_or_default().min(self.now())
+    }
+
     pub(crate) fn has_ended(&self) -> bool {
         self.ended.load(Ordering::Relaxed)
     }
--- a/crates/testing/soak/src/records.rs
+++ b/crates/testing/soak/src/records.rs
@@ -65,7 +65,7 @@
     pub engine: u32,
     /// The request's id.
     pub call: String,
-    /// Time at which it was received.
+    /// The earliest time at which the kernel can have received it for the engine.
     pub at: Duration,
     /// Whether it may have run; false if the engine rejected it.
     pub ran: bool,
