Front: a client's input is read before an attempt of its request is written

Cause: an attempt's condition at the write (WriteConditions) asked the router's table, which knows only what the task of the client's connection has read. After a stand-still all that arrived is ready at once, and which task runs first is chance: the reactor's thread wakes them while the executor runs.

Change: the condition asks the client's session, which reads what has arrived unless it did so within 10 ms. Its events wait for the session's own task, in order; a request that the router has not received is dropped with its client.

--- a/crates/edges/front/src/program/clients/reading.rs
+++ b/crates/edges/front/src/program/clients/reading.rs
@@ -1,18 +1,26 @@
 //! Reads the lines of a client connection and turns them into router events.
 //!
-//! Lines are read in passes of at most `MAX_LINES_PER_PASS` available lines, and the requests of a pass are
+//! Lines are read in passes of at most `MAX_LINES_PER_PASS` available lines, and the events of a pass are
 //! forwarded at its end. If the pass finds that the client has disconnected, its requests are dropped before they
-//! start, however long they waited unread. The limit of open requests limits how many are held back.
+//! start, however long they waited unread. The limit of open requests limits how many events are held back.
+//!
+//! A pass is also made just before an attempt of one of the connection's requests is written, unless the last one was
+//! a moment ago. What the client sent before, such as its disconnection, is therefore known, in whatever order the
+//! tasks run after the process has not run for some time.
 
 use super::session::{ClientSession, MAX_DISCARDED_BYTES, MAX_OPEN_REQUESTS};
 use crate::protocol::client::{
     self, ClientMessage, ClientRequest, Fault, FaultKind, MAX_LINE_BYTES, ParsedLine,
 };
 use crate::protocol::statement::table_group;
-use crate::transport::{self, MessageReader, ReadError, ReadLimits, ReadStatus};
+use crate::transport::{
+    self, MemoryBudget, MessageReader, ReadError, ReadLimits, ReadStatus, Signal, Socket,
+};
 use futures_lite::FutureExt;
 use lemonusher::RequestId;
 use lemonusher_routing::{Counter, IncomingRequest, RouterEvent};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::fmt;
 use std::rc::Rc;
@@ -22,6 +30,9 @@
 const LINE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Limit of the lines read in one pass, after which the task yields to others.
 const MAX_LINES_PER_PASS: usize = 2048;
+/// Input that was read to its end within this time is not read again before an attempt is written. A tenth of the time
+/// for which a client that has left may still get an attempt.
+const MAX_INPUT_AGE: Duration = Duration::from_millis(10);
 /// A client timeout longer than the request class's deadline times this is refused as invalid.
 const MAX_TIMEOUT_FACTOR: u64 = 2;
 /// Number of error responses without an id to invalid lines, after which a connection accepts no more lines.
@@ -33,6 +44,7 @@
 type LineReader = MessageReader<fn(&[u8]) -> Result<Option<ParsedLine>, Infallible>>;
 
 /// Reason why a connection accepts no more lines.
+#[derive(Clone, Copy)]
 pub(super) enum ReadEnd {
     /// The client has closed its side.
     ClientClosed,
@@ -57,87 +69,167 @@
     }
 }
 
-/// The result of one pass over the available lines.
-struct ReadPass {
-    accepted: Vec<IncomingRequest>,
-    lines_read: usize,
-    end: Option<ReadEnd>,
+/// The reading side of a connection. The connection's task reads whenever bytes arrive. The engine driver
+/// makes it read too, just before an attempt is written: the task may not have run since the client disconnected.
+pub(super) struct ClientInput {
+    lines: RefCell<LineReader>,
+    /// Events that the router has not received yet, in order.
+    received: RefCell<VecDeque<RouterEvent>>,
+    /// Why no more lines are read; `None` while they are.
+    end: Cell<Option<ReadEnd>>,
+    /// When everything that had arrived was last read.
+    read_at: Cell<Instant>,
+    /// Whether a partial line has been read.
+    has_partial_line: Cell<bool>,
+    /// Signals the connection's task that another task has read.
+    read_elsewhere: Signal,
+}
+
+impl ClientInput {
+    /// Reads from `socket`. `memory` is the budget for partial lines.
+    pub(super) fn new(socket: Socket, memory: Rc<MemoryBudget>) -> Self {
+        let limits = ReadLimits { bytes: MAX_LINE_BYTES, time: LINE_TIMEOUT, memory };
+        ClientInput {
+            lines: RefCell::new(transport::read_messages(socket, limits, client::parse_line)),
+            received: RefCell::default(),
+            end: Cell::new(None),
+            read_at: Cell::new(Instant::now()),
+            has_partial_line: Cell::new(false),
+            read_elsewhere: Signal::new(),
+        }
+    }
+
+    /// Whether a partial line has been read.
+    pub(super) fn has_partial_line(&self) -> bool {
+        self.has_partial_line.get()
+    }
+
+    /// Whether the client has closed its side, or the socket has failed.
+    pub(super) fn is_closed(&self) -> bool {
+        matches!(self.end.get(), Some(ReadEnd::ClientClosed | ReadEnd::Broken))
+    }
+
+    /// Waits until another task finds that the client has closed its side.
+    pub(super) async fn wait_until_closed(&self) {
+        while !self.is_closed() && self.read_elsewhere.wait().await.is_ok() {}
+    }
+
+    /// Removes the request with this ticket if the router has not received it, and returns whether it did.
+    fn remove_request(&self, ticket: u64) -> bool {
+        let mut received = self.received.borrow_mut();
+        let events_before = received.len();
+        received.retain(|event| match event {
+            RouterEvent::Request(incoming) => incoming.ticket != ticket,
+            _ => true,
+        });
+        received.len() < events_before
+    }
+
+    /// Removes and returns the next event for the router. The events hold the session, so none may be left at its end.
+    pub(super) fn next_event(&self) -> Option<RouterEvent> {
+        self.received.borrow_mut().pop_front()
+    }
 }
 
 impl ClientSession {
     /// Reads until the connection accepts no more lines, and returns the reason.
     pub(super) async fn read(self: &Rc<Self>) -> ReadEnd {
-        let socket = self.socket();
-        let limits =
-            ReadLimits { bytes: MAX_LINE_BYTES, time: LINE_TIMEOUT, memory: self.shared.line_memory.clone() };
-        let mut lines: LineReader = transport::read_messages(socket.clone(), limits, client::parse_line);
         loop {
-            let mut pass = self.read_available(&mut lines).await;
-            self.has_partial_line.set(lines.has_partial());
-            if matches!(pass.end, Some(ReadEnd::LimitExceeded))
-                && transport::discard_available(&socket, MAX_DISCARDED_BYTES)
-            {
-                pass.end = Some(ReadEnd::ClientClosed);
+            let lines_read = self.read_available();
+            while let Some(event) = self.input.next_event() {
+                let _ = self.shared.events.send(event).await;
             }
-            if matches!(pass.end, Some(ReadEnd::ClientClosed | ReadEnd::Broken)) {
-                // The client has disconnected, and the router has not received these requests: they are dropped.
-                let mut open_requests = self.open_requests.borrow_mut();
-                pass.accepted.iter().for_each(|incoming| drop(open_requests.remove(&incoming.ticket)));
-            } else {
-                for incoming in pass.accepted {
-                    let _ = self.shared.events.send(RouterEvent::Request(incoming)).await;
-                }
-                if pass.lines_read == MAX_LINES_PER_PASS {
-                    futures_lite::future::yield_now().await;
-                    continue;
-                }
+            if let Some(end) = self.input.end.get() {
+                self.input.lines.borrow_mut().release();
+                return end;
+            }
+            if lines_read == MAX_LINES_PER_PASS {
+                futures_lite::future::yield_now().await;
+                continue;
             }
             // Everything that arrived before the connection was accepted has been read.
             self.accept_wait.set(Duration::ZERO);
-            if pass.end.is_none() {
-                pass.end = self.wait_for_more(&mut lines).await;
-            }
-            if let Some(end) = pass.end {
-                return end;
-            }
+            self.wait_for_more().await;
+        }
+    }
+
+    /// Reads what the client has sent, unless that was done within [`MAX_INPUT_AGE`], so that the request of a client
+    /// that has left counts as abandoned. The connection's task forwards the events.
+    pub(super) fn catch_up_with_client(self: &Rc<Self>) {
+        let input = &self.input;
+        let is_reading = input.end.get().is_none() && self.accepting.get();
+        if is_reading && input.read_at.get().elapsed() > MAX_INPUT_AGE {
+            self.read_available();
+            input.read_elsewhere.notify();
+        }
+        // After the input exceeded a limit, its rest is discarded unread.
+        let is_discarding = matches!(input.end.get(), Some(ReadEnd::LimitExceeded));
+        if is_discarding && transport::is_closed_by_peer(&self.socket()) {
+            input.end.set(Some(ReadEnd::ClientClosed));
+            input.read_elsewhere.notify();
         }
     }
 
-    /// Reads the available lines. A revoke of a request that the router has received is forwarded at once.
-    async fn read_available(self: &Rc<Self>, lines: &mut LineReader) -> ReadPass {
-        let mut pass = ReadPass { accepted: Vec::new(), lines_read: 0, end: None };
-        while pass.lines_read < MAX_LINES_PER_PASS {
-            pass.lines_read += 1;
+    /// Reads the available lines, unless reading has ended, and returns their number. Their events wait in the
+    /// input. If the client has disconnected, requests that the router has not received are dropped.
+    fn read_available(self: &Rc<Self>) -> usize {
+        if self.input.end.get().is_some() {
+            return 0;
+        }
+        let mut lines = self.input.lines.borrow_mut();
+        let mut lines_read = 0;
+        let mut end = None;
+        while lines_read < MAX_LINES_PER_PASS && end.is_none() {
             match lines.try_next() {
                 ReadStatus::Message(line) => {
-                    self.last_used.set(Instant::now());
-                    self.has_received_line.set(true);
-                    if let Some(event) = self.handle_line(line, &mut pass.accepted) {
-                        let _ = self.shared.events.send(event).await;
-                    }
-                    if !self.accepting.get() {
-                        pass.end = Some(ReadEnd::LimitExceeded);
-                    }
+                    lines_read += 1;
+                    end = self.handle_line(line);
                 }
-                ReadStatus::Pending => return pass,
-                ReadStatus::End => pass.end = Some(ReadEnd::ClientClosed),
-                ReadStatus::Failed(error) => pass.end = Some(self.handle_read_error(error)),
-            }
-            if pass.end.is_some() {
-                return pass;
+                ReadStatus::Pending => {
+                    self.input.read_at.set(Instant::now());
+                    break;
+                }
+                ReadStatus::End => end = Some(ReadEnd::ClientClosed),
+                ReadStatus::Failed(error) => end = Some(self.handle_read_error(error)),
             }
         }
-        pass
+        self.input.has_partial_line.set(lines.has_partial());
+        if let Some(end) = end {
+            self.end_input(end);
+        }
+        lines_read
+    }
+
+    /// Ends the input. Requests of a client that has disconnected are dropped if the router has not received them.
+    fn end_input(&self, reason: ReadEnd) {
+        let exceeds_limit = matches!(reason, ReadEnd::LimitExceeded);
+        let is_closed = exceeds_limit && transport::discard_available(&self.socket(), MAX_DISCARDED_BYTES);
+        self.input.end.set(Some(if is_closed { ReadEnd::ClientClosed } else { reason }));
+        if self.input.is_closed() {
+            let mut open_requests = self.open_requests.borrow_mut();
+            self.input.received.borrow_mut().retain(|event| {
+                let RouterEvent::Request(incoming) = event else { return true };
+                open_requests.remove(&incoming.ticket);
+                false
+            });
+        }
     }
 
-    /// Waits until more bytes are available, or until the connection has closed on request.
-    async fn wait_for_more(&self, lines: &mut LineReader) -> Option<ReadEnd> {
-        let more = async { lines.wait_for_more().await.err().map(|error| self.handle_read_error(error)) };
+    /// Waits until more bytes are available, another task has read, or the connection has closed on request.
+    async fn wait_for_more(&self) {
+        let input = &self.input;
+        let wait = input.lines.borrow_mut().begin_wait();
+        let more = async { wait.readable().await.err().map(|error| self.handle_read_error(error)) };
         let close_requested = async {
             let _ = self.close_requested.wait().await;
             self.try_close().then_some(ReadEnd::Idle)
         };
-        more.or(close_requested).await
+        let read_elsewhere = async {
+            let _ = input.read_elsewhere.wait().await;
+            None
+        };
+        let end = more.or(close_requested).or(read_elsewhere).await;
+        input.end.set(input.end.get().or(end));
     }
 
     /// Maps a read error to the reason why reading ends. A line that is too long gets one error response.
@@ -159,15 +251,13 @@
         }
     }
 
-    /// Handles one line. A request is added to `accepted`; a revoke may return an event for the router.
-    fn handle_line(
-        self: &Rc<Self>,
-        line: Result<ClientMessage, Fault>,
-        accepted: &mut Vec<IncomingRequest>,
-    ) -> Option<RouterEvent> {
+    /// Handles one line: a request or a revoke becomes an event for the router. Returns why reading ends, if it does.
+    fn handle_line(self: &Rc<Self>, line: Result<ClientMessage, Fault>) -> Option<ReadEnd> {
+        self.last_used.set(Instant::now());
+        self.has_received_line.set(true);
         match line {
             Ok(ClientMessage::Request(request)) => match self.accept_request(request) {
-                Ok(incoming) => accepted.push(incoming),
+                Ok(incoming) => self.input.received.borrow_mut().push_back(RouterEvent::Request(incoming)),
                 Err(fault) => self.handle_fault(fault),
             },
             Ok(ClientMessage::Heartbeat(id)) => {
@@ -178,22 +268,23 @@
             Ok(ClientMessage::Revoke(ticket)) if ticket > self.highest_ticket.get() => {
                 self.handle_fault(Fault { id: None, kind: FaultKind::InvalidParams });
             }
-            Ok(ClientMessage::Revoke(ticket)) => return self.revoke(ticket, accepted),
+            Ok(ClientMessage::Revoke(ticket)) => self.revoke(ticket),
             Err(fault) => self.handle_fault(fault),
         }
-        None
+        (!self.accepting.get()).then_some(ReadEnd::LimitExceeded)
     }
 
-    /// Handles a client that no longer waits for a request. Returns an event only if the router has received the
-    /// request.
-    fn revoke(self: &Rc<Self>, ticket: u64, accepted: &mut Vec<IncomingRequest>) -> Option<RouterEvent> {
+    /// Handles a client that no longer waits for a request. The router is told only if it has received the request.
+    fn revoke(self: &Rc<Self>, ticket: u64) {
         let revoked = self.open_requests.borrow_mut().remove(&ticket);
         log::debug!("the client revoked its request {ticket}; request id if still open: {revoked:?}");
-        let accepted_before = accepted.len();
-        accepted.retain(|incoming| incoming.ticket != ticket);
-        let router_has_request = accepted_before == accepted.len();
-        let request = revoked.filter(|_| router_has_request)?;
-        Some(RouterEvent::ClientDisconnected { sink: self.clone(), ticket, request })
+        if self.input.remove_request(ticket) {
+            return;
+        }
+        if let Some(request) = revoked {
+            let disconnected = RouterEvent::ClientDisconnected { sink: self.clone(), ticket, request };
+            self.input.received.borrow_mut().push_back(disconnected);
+        }
     }
 
     /// Checks a request and registers it as open, or returns the fault to respond with.
@@ -257,3 +348,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../../tests/unit/reading.rs"]
+mod tests;
--- a/crates/edges/front/src/program/clients/session.rs
+++ b/crates/edges/front/src/program/clients/session.rs
@@ -1,6 +1,6 @@
 //! One client connection from its accept to its close: its state, its writes, and when it may close.
 
-use super::reading::ReadEnd;
+use super::reading::{ClientInput, ReadEnd};
 use crate::program::shared::Shared;
 use crate::protocol::client;
 use crate::transport::{self, Signal, Socket, WriteQueue};
@@ -35,8 +35,8 @@
     pub(super) open_requests: RefCell<BTreeMap<u64, RequestId>>,
     /// Whether lines are still accepted.
     pub(super) accepting: Cell<bool>,
-    /// Whether a partial line has been read.
-    pub(super) has_partial_line: Cell<bool>,
+    /// Reads the client's lines, and keeps what they contain until the router can take it.
+    pub(super) input: ClientInput,
     /// Since when the connection lingers, that is, accepts no more lines and only waits for its last write or for its
     /// client to close; `None` if it does not linger.
     lingering_since: Cell<Option<Instant>>,
@@ -60,13 +60,14 @@
     /// Wraps the socket of an accepted connection, which may have waited for the duration `accept_wait` to be
     /// accepted.
     pub fn new(shared: Rc<Shared>, socket: Socket, accept_wait: Duration) -> Self {
+        let input = ClientInput::new(socket.clone(), shared.line_memory.clone());
         let write_queue = WriteQueue::new(socket, WRITE_QUEUE_BYTES);
         ClientSession {
             shared,
+            input,
             write_queue,
             open_requests: RefCell::default(),
             accepting: Cell::new(true),
-            has_partial_line: Cell::new(false),
             lingering_since: Cell::new(None),
             close_requested: Signal::new(),
             counted_bytes: Cell::new(0),
@@ -107,7 +108,7 @@
     pub fn idle_time(&self) -> Option<Duration> {
         let is_busy = !self.open_requests.borrow().is_empty()
             || self.write_queue.queued_bytes() > 0
-            || self.has_partial_line.get();
+            || self.input.has_partial_line();
         (self.accepting.get() && !is_busy).then(|| self.last_used.get().elapsed())
     }
 
@@ -144,9 +145,10 @@
                 if self.open_requests.borrow().is_empty() {
                     self.write_queue.close();
                 }
-                if transport::discard(&self.socket(), MAX_DISCARDED_BYTES).await {
-                    return false;
+                if !transport::discard(&self.socket(), MAX_DISCARDED_BYTES).await {
+                    self.input.wait_until_closed().await;
                 }
+                return false;
             }
         }
         std::future::pending().await
@@ -161,8 +163,13 @@
     }
 
     /// Reports to the router that the client of each open request has disconnected, and forgets the requests. A
-    /// revoke reports the same event for its one request.
+    /// revoke reports the same event for its one request. Requests that the router has not received are dropped.
     async fn abandon_requests(self: &Rc<Self>, respond_failed: bool) {
+        while let Some(event) = self.input.next_event() {
+            if !matches!(event, RouterEvent::Request(_)) {
+                let _ = self.shared.events.send(event).await;
+            }
+        }
         let open_requests = std::mem::take(&mut *self.open_requests.borrow_mut());
         for (ticket, request) in open_requests {
             let disconnected = RouterEvent::ClientDisconnected { sink: self.clone(), ticket, request };
@@ -214,6 +221,11 @@
 }
 
 impl ResponseSink for ClientSession {
+    fn is_waiting(self: Rc<Self>, ticket: u64) -> bool {
+        self.catch_up_with_client();
+        !self.input.is_closed() && self.open_requests.borrow().contains_key(&ticket)
+    }
+
     fn respond(&self, ticket: u64, response: Response) {
         if self.open_requests.borrow_mut().remove(&ticket).is_none() {
             return;
--- a/crates/edges/front/src/program/external_processing.rs
+++ b/crates/edges/front/src/program/external_processing.rs
@@ -64,6 +64,11 @@
             self.ready.notify();
         }
     }
+
+    /// A proxy starts no attempt for a client that has left it, so what the bridge knows of the call is enough.
+    fn is_waiting(self: Rc<Self>, ticket: u64) -> bool {
+        self.requests.borrow().contains_key(&ticket)
+    }
 }
 
 /// Events that the bridge waits for.
--- a/crates/edges/front/src/transport/message_reader.rs
+++ b/crates/edges/front/src/transport/message_reader.rs
@@ -117,7 +117,7 @@
                 ReadStatus::Failed(error) => return Some(Err(error)),
                 ReadStatus::Pending => {}
             }
-            if let Err(error) = self.wait_for_more().await {
+            if let Err(error) = self.begin_wait().readable().await {
                 self.ended = true;
                 return Some(Err(error));
             }
@@ -137,6 +137,14 @@
         status
     }
 
+    /// Releases the bytes of a partial message. No more messages are returned.
+    pub fn release(&mut self) {
+        self.ended = true;
+        self.start = 0;
+        self.bytes = Vec::new();
+        self.reservation.resize(0);
+    }
+
     /// Returns whether unparsed bytes have been read.
     pub fn has_partial(&self) -> bool {
         self.bytes.len() > self.start
@@ -183,13 +191,34 @@
         }
     }
 
-    /// Waits until the socket is readable. Fails if a partial message exceeds its time limit.
-    pub async fn wait_for_more<E>(&mut self) -> Result<(), ReadError<E>> {
+    /// Begins to wait for more bytes. The wait does not borrow the reader, which may be used meanwhile.
+    pub fn begin_wait(&mut self) -> InputWait {
+        let socket = self.socket.clone();
         if !self.has_partial() {
-            return self.socket.readable().await.map_err(ReadError::Io);
+            return InputWait { socket, timeout: None };
         }
         let message_started_at = *self.message_started_at.get_or_insert_with(Instant::now);
-        let remaining = self.limits.time.saturating_sub(message_started_at.elapsed());
-        with_timeout(remaining, self.socket.readable()).await.ok_or(ReadError::Slow)?.map_err(ReadError::Io)
+        let timeout = Some(self.limits.time.saturating_sub(message_started_at.elapsed()));
+        InputWait { socket, timeout }
+    }
+}
+
+/// A wait for more bytes of a connection.
+pub struct InputWait {
+    socket: Socket,
+    /// Time left for the rest of a partial message; `None` if there is none.
+    timeout: Option<Duration>,
+}
+
+impl InputWait {
+    /// Waits until the socket is readable. Fails if a partial message exceeds its time limit.
+    pub async fn readable<E>(self) -> Result<(), ReadError<E>> {
+        let readable = self.socket.readable();
+        match self.timeout {
+            None => readable.await.map_err(ReadError::Io),
+            Some(timeout) => {
+                with_timeout(timeout, readable).await.ok_or(ReadError::Slow)?.map_err(ReadError::Io)
+            }
+        }
     }
 }
--- a/crates/edges/front/src/transport/mod.rs
+++ b/crates/edges/front/src/transport/mod.rs
@@ -13,6 +13,6 @@
 pub use memory_budget::{MemoryBudget, Reservation};
 pub use message_reader::{MessageReader, Parsed, ReadError, ReadLimits, ReadStatus, read_messages};
 pub use signal::Signal;
-pub use socket::{Socket, connect, has_unread, listen, with_timeout};
+pub use socket::{Socket, connect, has_unread, is_closed_by_peer, listen, with_timeout};
 pub use stall_detector::StallDetector;
 pub use write_queue::WriteQueue;
--- a/crates/edges/front/src/transport/socket.rs
+++ b/crates/edges/front/src/transport/socket.rs
@@ -34,6 +34,14 @@
     socket.get_ref().peek(&mut [0]).is_ok_and(|bytes| bytes > 0)
 }
 
+/// Returns whether the peer has closed its side, or the connection has failed, and no byte is left to read.
+pub fn is_closed_by_peer(socket: &Socket) -> bool {
+    match socket.get_ref().peek(&mut [0]) {
+        Ok(bytes) => bytes == 0,
+        Err(error) => !matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+    }
+}
+
 /// Waits for the future. Returns `None` if the timeout expires first.
 pub async fn with_timeout<T>(timeout: Duration, future: impl Future<Output = T>) -> Option<T> {
     let timed_out = async {
--- a/crates/edges/front/tests/races.rs
+++ b/crates/edges/front/tests/races.rs
@@ -516,3 +516,43 @@
         drop(staying);
     }
 }
+
+/// Guards against an attempt past the drain grace, because a front that stood still decides before it reads the
+/// discovery channel: on a request that waited for its decision, or on one that came meanwhile.
+#[test]
+fn attempt_is_not_sent_to_an_engine_whose_drain_grace_ended_during_a_stand_still() {
+    const TICK: Duration = Duration::from_millis(300);
+    const GRACE: Duration = Duration::from_millis(200);
+    let mut rounds = 0;
+    while rounds < 8 {
+        let (front, engine, discovery) = front_with_one_engine(|config| {
+            config["settings"]["tick_us"] = json!(TICK.as_micros() as u64);
+            config["settings"]["obligations"]["drain_grace_us"] = json!(GRACE.as_micros() as u64);
+        });
+        let DiscoveryConnection { stream: mut channel, .. } = discovery.next_connection();
+        let mut client = front.client();
+        // A decision has just been made, so the next request waits for the next one.
+        client.send_request(1, "look-up");
+        engine.next_message("serve").respond("HIT", "fetches=1", b"a\tb\tc\n");
+        client.expect_result(1, b"a\tb\tc\n");
+        let comes_meanwhile = rounds % 2 == 0;
+        if !comes_meanwhile {
+            client.send_request(2, "look-up");
+            assert!(front.client().is_ready());
+        }
+        front.freeze();
+        // On a busy machine the front may have decided before it stopped. Such a round shows nothing.
+        if engine.try_next_request(GRACE / 4).is_some() {
+            continue;
+        }
+        if comes_meanwhile {
+            client.send_request(2, "look-up");
+        }
+        channel.write_all(&delta_frame(2, &[(1, engine.address, 1)])).unwrap();
+        std::thread::sleep(TICK * 2);
+        front.signal("CONT");
+        assert_eq!(client.expect_error(Some(2)), -32002, "round {rounds}");
+        assert!(engine.is_quiet(Duration::from_millis(100)), "round {rounds}");
+        rounds += 1;
+    }
+}
--- a/crates/edges/routing/src/messages.rs
+++ b/crates/edges/routing/src/messages.rs
@@ -19,6 +19,27 @@
 pub trait ResponseSink {
     /// Delivers the final response to the request with this ticket. Called once per request at most.
     fn respond(&self, ticket: u64, response: Response);
+
+    /// Returns whether the client still waits for the response to the request with this ticket. Takes into account
+    /// what the client has sent but the driver's own task has not read yet.
+    fn is_waiting(self: Rc<Self>, ticket: u64) -> bool;
+}
+
+/// The client side of one request: where its response goes.
+pub(crate) struct Requester {
+    pub(crate) sink: Rc<dyn ResponseSink>,
+    /// The sink's own number for the request.
+    pub(crate) ticket: u64,
+}
+
+impl Requester {
+    pub(crate) fn respond(&self, response: Response) {
+        self.sink.respond(self.ticket, response);
+    }
+
+    fn is_waiting(&self) -> bool {
+        self.sink.clone().is_waiting(self.ticket)
+    }
 }
 
 /// The final response to a request.
@@ -186,7 +207,8 @@
     },
 }
 
-/// Conditions that are checked just before an attempt is written, because it may have waited for a connection.
+/// Conditions that are checked just before an attempt is written. It may have waited for a connection, and its client
+/// may have disconnected without the router knowing, above all after this process did not run for some time.
 #[derive(Debug, Clone)]
 pub struct WriteConditions {
     /// The attempt is not written at this time or later: the earlier of the request's and the attempt's deadline.
@@ -194,15 +216,14 @@
     /// The attempt may not start at this time or later; none sets no such limit.
     pub start_by: Option<Instant>,
     /// Upgradable for as long as the request is open.
-    pub(crate) request_open: Weak<()>,
+    pub(crate) requester: Weak<Requester>,
 }
 
 impl WriteConditions {
     /// Returns whether the attempt may be written at `now`.
     pub fn are_met(&self, now: Instant) -> bool {
-        self.request_open.strong_count() > 0
-            && now < self.until
-            && self.start_by.is_none_or(|start_by| now < start_by)
+        let Some(requester) = self.requester.upgrade() else { return false };
+        now < self.until && self.start_by.is_none_or(|start_by| now < start_by) && requester.is_waiting()
     }
 }
 
--- a/crates/edges/routing/src/router/admission.rs
+++ b/crates/edges/routing/src/router/admission.rs
@@ -6,7 +6,7 @@
 
 use super::{OpenRequest, RequestRouter};
 use crate::counters::Counter;
-use crate::messages::{EngineCommand, IncomingRequest, Response, ResponseSink, Token};
+use crate::messages::{EngineCommand, IncomingRequest, Requester, Response, ResponseSink, Token};
 use lemonusher::{Arrival, Event, RequestId};
 use std::rc::Rc;
 use std::time::Duration;
@@ -25,15 +25,13 @@
         }
         self.statement_bytes += incoming.statement.len();
         let open_request = OpenRequest {
-            sink: incoming.sink,
-            ticket: incoming.ticket,
+            requester: Rc::new(Requester { sink: incoming.sink, ticket: incoming.ticket }),
             request_class: incoming.request_class,
             statement: incoming.statement,
             deadline: now + incoming.client_timeout,
             priority: 1,
             memory_mb: 0.0,
             attempts_sent: 0,
-            open_guard: Rc::new(()),
         };
         self.requests.insert(incoming.request.clone(), open_request);
         self.gateway.handle_event(
@@ -86,7 +84,8 @@
         ticket: u64,
         request: RequestId,
     ) {
-        let is_same_client = |open: &&OpenRequest| open.ticket == ticket && Rc::ptr_eq(&open.sink, sink);
+        let is_same_client =
+            |open: &&OpenRequest| open.requester.ticket == ticket && Rc::ptr_eq(&open.requester.sink, sink);
         if let Some(open_request) = self.requests.get(&request).filter(is_same_client) {
             self.counters.add(Counter::ClientDisconnected, Some(open_request.request_class));
             self.finish_request(&request);
@@ -104,7 +103,7 @@
         };
         self.counters.add(counter, Some(open_request.request_class));
         log::debug!("batch" = &**request; "request {request} ended, counted as '{counter}'");
-        open_request.sink.respond(open_request.ticket, response);
+        open_request.requester.respond(response);
     }
 
     /// Removes an open request; no response is sent for it after this. Attempts that are not written yet are
--- a/crates/edges/routing/src/router/attempts.rs
+++ b/crates/edges/routing/src/router/attempts.rs
@@ -37,7 +37,7 @@
             conditions: WriteConditions {
                 until: self.clock.instant(deadline),
                 start_by: start_by.map(|at| self.clock.instant(at)),
-                request_open: Rc::downgrade(&open_request.open_guard),
+                requester: Rc::downgrade(&open_request.requester),
             },
             priority: open_request.priority,
             memory_mb: open_request.memory_mb,
--- a/crates/edges/routing/src/router/mod.rs
+++ b/crates/edges/routing/src/router/mod.rs
@@ -12,7 +12,7 @@
 use crate::clock::Clock;
 use crate::counters::Counters;
 use crate::management::EngineNotification;
-use crate::messages::{EngineCommand, ResponseSink, RouterEvent, Token};
+use crate::messages::{EngineCommand, Requester, RouterEvent, Token};
 use crate::zone_monitor::{ZoneMonitor, ZoneObservation};
 use async_channel::Sender;
 use async_io::Timer;
@@ -39,17 +39,15 @@
 
 /// A request that was admitted and has no final response yet.
 struct OpenRequest {
-    sink: Rc<dyn ResponseSink>,
-    ticket: u64,
+    /// The write conditions of the request's attempts hold weak references to this value. It is dropped with
+    /// the request, after which attempts that are not written yet are never written.
+    requester: Rc<Requester>,
     request_class: usize,
     statement: Rc<[u8]>,
     deadline: Duration,
     priority: u8,
     memory_mb: f64,
     attempts_sent: u32,
-    /// The write conditions of the request's attempts hold weak references to this value. It is dropped with
-    /// the request, after which attempts that are not written yet are never written.
-    open_guard: Rc<()>,
 }
 
 /// An attempt that was passed to the engine driver, or waits in the command backlog, and has not ended.
--- a/crates/edges/routing/tests/unit/commands.rs
+++ b/crates/edges/routing/tests/unit/commands.rs
@@ -15,6 +15,10 @@
 
 impl ResponseSink for DiscardingSink {
     fn respond(&self, _: u64, _: Response) {}
+
+    fn is_waiting(self: Rc<Self>, _: u64) -> bool {
+        true
+    }
 }
 
 /// Creates a router with one engine. The engine driver's queue stays full, and `backlog` commands wait in the
