Watch: a heartbeat leaves the next sample as it is

Cause: when a heartbeat came due before a sample, the sample moved on by a whole interval, too; with heartbeats more often than samples none came due. Only what is due moves on now.

--- a/crates/core/watch/src/watch.rs
+++ b/crates/core/watch/src/watch.rs
@@ -123,7 +123,7 @@
         if !due && !heartbeat_due {
             return None;
         }
-        self.set_next_due_times(now, heartbeat_due);
+        self.set_next_due_times(now);
         let current = leaves(tree, &self.subscription.patterns);
         let mut notification = Notification::between(&self.sent, &current);
         let send_all = match self.subscription.mode {
@@ -136,11 +136,16 @@
         Some((current, notification))
     }
 
-    fn set_next_due_times(&mut self, now: Duration, heartbeat_due: bool) {
-        if let SubscriptionMode::Sample { sample_interval, .. } = self.subscription.mode {
+    /// Moves on what is due, the sample or the heartbeat, and leaves the other as it is.
+    fn set_next_due_times(&mut self, now: Duration) {
+        if let SubscriptionMode::Sample { sample_interval, .. } = self.subscription.mode
+            && self.next_sample <= now
+        {
             self.next_sample = next_due_time(self.next_sample, sample_interval, now);
         }
-        if let Some(interval) = self.subscription.heartbeat_interval.filter(|_| heartbeat_due) {
+        if let Some(interval) = self.subscription.heartbeat_interval
+            && self.next_heartbeat <= now
+        {
             self.next_heartbeat = next_due_time(self.next_heartbeat, interval, now);
         }
     }
--- a/crates/core/watch/tests/watch.rs
+++ b/crates/core/watch/tests/watch.rs
@@ -76,6 +76,7 @@
     }
 }
 
+/// Guards against heartbeats that move samples on, so that none comes due.
 #[test]
 fn samples_and_heartbeats_keep_their_intervals() {
     let schema = Schema::front().unwrap();
@@ -94,6 +95,8 @@
         (sample(false), None, 200),
         (sample(true), None, 0),
         (sample(true), Some(ms(1000)), 20),
+        // 100 samples and 142 heartbeats, 14 of which are due together.
+        (sample(false), Some(ms(70)), 456),
         (SubscriptionMode::OnChange, None, 0),
         (SubscriptionMode::OnChange, Some(ms(2500)), 8),
     ] {
