Zone failover: an engine is waited for only while something is in flight

A healthy engine to which little is sent counted as silent after the confirmation time, and a zone of such engines as unreachable.

Change: the wait pauses while all that was sent has been taken back; the waits are added up, so engines whose every attempt is cancelled unanswered are still found. After a failure it runs on, as before. A probe that never left the backlog is told to the observer, too.

--- a/crates/core/zone-failover/src/observer.rs
+++ b/crates/core/zone-failover/src/observer.rs
@@ -1,8 +1,9 @@
 //! Observes the zones through the front's ordinary attempts and probes. The observer itself sends nothing.
 //!
-//! An engine is *silent* if its latest failure is recent and newer than its latest answer, or if the confirmation time
-//! has passed since the first attempt or probe after its latest answer. The latter detects a zone that disappears
-//! without an error. Otherwise an engine *answers* if its latest answer is recent, and else counts as not tried.
+//! An engine is *silent* if its latest failure is recent and newer than its latest answer, or if attempts or probes that
+//! were sent after its latest answer have waited for the confirmation time. The latter detects a zone that disappears
+//! without an error. The wait begins with the first of them. It pauses while all of them have been cancelled or were
+//! never sent, because an engine owes no answer then; after a failure it does not pause. Otherwise an engine *answers* if its latest answer is recent, and else counts as not tried.
 //! Recent means within the last four report intervals.
 
 use crate::{
@@ -36,8 +37,40 @@
     ready: bool,
     last_answer: Option<Duration>,
     last_failure: Option<Duration>,
-    /// The time of the first attempt or probe sent since the last answer.
-    unanswered_since: Option<Duration>,
+    wait: Wait,
+}
+
+/// How long an engine has been waited for since its last answer.
+#[derive(Debug, Clone, Copy, Default)]
+struct Wait {
+    /// Since when something has been in flight without a pause; none during a pause.
+    since: Option<Duration>,
+    /// The waits before the pauses, added up.
+    earlier: Duration,
+    /// Attempts and probes sent since the last answer that have not been cancelled.
+    in_flight: u32,
+    /// Whether one of them failed.
+    has_failed: bool,
+}
+
+impl Wait {
+    fn handle_sent(&mut self, now: Duration) {
+        self.in_flight = self.in_flight.saturating_add(1);
+        self.since = self.since.or(Some(now));
+    }
+
+    /// Handles the end of one that got no chance to be answered. `counts` says whether the time until now was a wait.
+    fn handle_withdrawn(&mut self, now: Duration, counts: bool) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        if self.in_flight == 0 && !self.has_failed {
+            let waited = self.since.take().map_or(Duration::ZERO, |since| now.saturating_sub(since));
+            self.earlier += if counts { waited } else { Duration::ZERO };
+        }
+    }
+
+    fn elapsed(&self, now: Duration) -> Duration {
+        self.earlier + self.since.map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    }
 }
 
 impl Engine {
@@ -47,7 +80,7 @@
         if self.last_failure > self.last_answer && self.last_failure.is_some_and(is_recent) {
             return Some(false);
         }
-        if self.unanswered_since.is_some_and(|since| since + config.confirmation_time <= now) {
+        if self.wait.elapsed(now) >= config.confirmation_time {
             return Some(false);
         }
         self.last_answer.filter(|at| is_recent(*at)).map(|_| true)
@@ -101,8 +134,16 @@
     Failed,
     /// The engine replied, but without a result.
     Answered,
-    /// The front cancelled the attempt; this is no evidence.
-    Cancelled,
+    /// The front cancelled the attempt. Only the time until then was waited in vain.
+    Cancelled {
+        /// When it was sent.
+        sent_at: Duration,
+    },
+    /// The attempt never reached the engine; this is no evidence.
+    NotSent {
+        /// When it was handed over to be sent.
+        sent_at: Duration,
+    },
 }
 
 /// This front's observation of an engine.
@@ -193,7 +234,7 @@
     /// Records that an attempt or a probe was sent.
     pub fn attempt_sent(&mut self, now: Duration, engine: u32) {
         if let Some(engine) = self.engines.get_mut(&engine) {
-            engine.unanswered_since = engine.unanswered_since.or(Some(now));
+            engine.wait.handle_sent(now);
         }
     }
 
@@ -201,14 +242,30 @@
     pub fn engine_answered(&mut self, now: Duration, engine: u32) {
         if let Some(engine) = self.engines.get_mut(&engine) {
             engine.last_answer = Some(now);
-            engine.unanswered_since = None;
+            engine.wait = Wait::default();
         }
     }
 
+    /// Records that an attempt or a probe was cancelled, or was never sent. One that was sent before the engine's last
+    /// answer says nothing.
+    fn attempt_withdrawn(&mut self, now: Duration, engine: u32, sent_at: Duration, counts: bool) {
+        if let Some(engine) = self.engines.get_mut(&engine)
+            && engine.last_answer.is_none_or(|answered_at| sent_at >= answered_at)
+        {
+            engine.wait.handle_withdrawn(now, counts);
+        }
+    }
+
+    /// Records that a probe was never sent.
+    pub fn probe_not_sent(&mut self, now: Duration, engine: u32, sent_at: Duration) {
+        self.attempt_withdrawn(now, engine, sent_at, false);
+    }
+
     /// Records that an attempt or a probe failed without an answer.
     pub fn engine_failed(&mut self, now: Duration, engine: u32) {
         if let Some(engine) = self.engines.get_mut(&engine) {
             engine.last_failure = Some(now);
+            engine.wait.has_failed = true;
         }
     }
 
@@ -231,7 +288,8 @@
                 ended.failed = 1;
             }
             AttemptResult::Answered => self.engine_answered(now, engine),
-            AttemptResult::Cancelled => {}
+            AttemptResult::Cancelled { sent_at } => self.attempt_withdrawn(now, engine, sent_at, true),
+            AttemptResult::NotSent { sent_at } => self.attempt_withdrawn(now, engine, sent_at, false),
         }
         if let Some(counts) = zone.and_then(|zone| self.attempts.get_mut(zone)) {
             counts.returned = counts.returned.saturating_add(ended.returned);
--- a/crates/core/zone-failover/tests/observer.rs
+++ b/crates/core/zone-failover/tests/observer.rs
@@ -39,6 +39,51 @@
     assert_eq!(local.zones[1].health, ZoneHealth::Healthy);
 }
 
+/// An attempt and how it ended, in milliseconds.
+struct EndedAttempt {
+    sent_at: u64,
+    ended_at: u64,
+    result: AttemptResult,
+}
+
+fn cancelled(sent_at: u64, ended_at: u64) -> EndedAttempt {
+    EndedAttempt { sent_at, ended_at, result: AttemptResult::Cancelled { sent_at: ms(sent_at) } }
+}
+
+/// What engine 0 counts as at `now`, after these attempts.
+fn answers_after(now: u64, attempts: &[EndedAttempt]) -> Option<bool> {
+    let mut observer = observer();
+    for EndedAttempt { sent_at, ended_at, result } in attempts {
+        observer.attempt_sent(ms(*sent_at), 0);
+        observer.attempt_ended(ms(*ended_at), 0, 0, *result);
+    }
+    observer.engines(ms(now), &config())[0].answers
+}
+
+/// Guards against a healthy engine that counts as silent, long after its one attempt was cancelled or never sent.
+#[test]
+fn engine_without_anything_in_flight_is_not_silent() {
+    assert_eq!(answers_after(9000, &[cancelled(100, 150)]), None);
+    let not_sent =
+        EndedAttempt { sent_at: 100, ended_at: 2900, result: AttemptResult::NotSent { sent_at: ms(100) } };
+    assert_eq!(answers_after(9000, &[not_sent]), None);
+    // An engine that leaves everything unanswered until it is cancelled is silent, however short each wait is.
+    let confirmation = config().confirmation_time.as_millis() as u64;
+    let waits: Vec<EndedAttempt> =
+        (0..=confirmation / 50).map(|n| cancelled(n * 100, n * 100 + 50)).collect();
+    assert_eq!(answers_after(9000, &waits), Some(false));
+    // A failure counts on, whatever is cancelled after it.
+    let failed = EndedAttempt { sent_at: 100, ended_at: 150, result: AttemptResult::Failed };
+    assert_eq!(answers_after(9000, &[failed, cancelled(200, 250)]), Some(false));
+    // One that was sent before the last answer says nothing of those after it.
+    let mut observer = observer();
+    observer.attempt_sent(ms(100), 0);
+    observer.engine_answered(ms(200), 0);
+    observer.attempt_sent(ms(300), 0);
+    observer.attempt_ended(ms(400), 0, 0, AttemptResult::Cancelled { sent_at: ms(100) });
+    assert_eq!(observer.engines(ms(9000), &config())[0].answers, Some(false));
+}
+
 #[test]
 fn demand_counts_arrivals_and_work_is_learned_from_responses() {
     let mut observer = observer();
--- a/crates/edges/routing/src/router/attempts.rs
+++ b/crates/edges/routing/src/router/attempts.rs
@@ -116,8 +116,7 @@
         let Some(zone_monitor) = &mut self.zone_monitor else { return };
         let class = self.deployment.request_classes.get(attempt.request_class);
         let threads = class.map_or(1.0, |config| config.threads);
-        let elapsed = now.saturating_sub(attempt.sent_at);
-        let result = crate::zone_monitor::attempt_result(outcome, elapsed, work, threads);
+        let result = crate::zone_monitor::attempt_result(outcome, attempt.sent_at, now, work, threads);
         zone_monitor.handle_attempt_ended(now, attempt.engine, attempt.request_class, outcome, result);
     }
 
--- a/crates/edges/routing/src/router/commands.rs
+++ b/crates/edges/routing/src/router/commands.rs
@@ -8,7 +8,7 @@
 //! management clients. It is withdrawn at most once at its start deadline and once when its request is
 //! finished. There are as many lists as discovery sends.
 
-use super::RequestRouter;
+use super::{InFlightProbe, RequestRouter};
 use crate::messages::{EngineCommand, RouterEvent, Token};
 use lemonusher::AttemptOutcome;
 use std::time::Duration;
@@ -53,7 +53,11 @@
         let waiting = self.command_backlog.iter().position(|command| command.token() == Some(token));
         let Some(index) = waiting else { return false };
         self.command_backlog.remove(index);
-        self.probes.remove(&token);
+        if let Some(InFlightProbe { engine, sent_at }) = self.probes.remove(&token)
+            && let Some(zone_monitor) = &mut self.zone_monitor
+        {
+            zone_monitor.handle_probe_not_sent(now, engine, sent_at);
+        }
         // If the token belongs to a probe, this event matches no attempt and is ignored.
         self.handle_event(now, RouterEvent::attempt_ended(token, AttemptOutcome::NotSent));
         true
--- a/crates/edges/routing/src/zone_monitor.rs
+++ b/crates/edges/routing/src/zone_monitor.rs
@@ -159,6 +159,11 @@
         self.observer.engine_answered(now, engine);
     }
 
+    /// Records that a probe was never sent.
+    pub fn handle_probe_not_sent(&mut self, now: Duration, engine: EngineId, sent_at: Duration) {
+        self.observer.probe_not_sent(now, engine, sent_at);
+    }
+
     /// Records the end of a probe.
     pub fn handle_probe_ended(&mut self, now: Duration, engine: EngineId, answered: bool) {
         match answered {
@@ -189,23 +194,25 @@
     }
 }
 
-/// Converts an attempt's outcome for the zone observer. `work` is the reported work on one thread; `threads`
-/// is the number of threads of the request's class.
+/// Converts the outcome, at `now`, of an attempt sent at `sent_at` for the zone observer. `work` is the reported work on
+/// one thread; `threads` is the number of threads of the request's class.
 pub fn attempt_result(
     outcome: AttemptOutcome,
-    elapsed: Duration,
+    sent_at: Duration,
+    now: Duration,
     work: Option<Duration>,
     threads: f64,
 ) -> AttemptResult {
     match outcome {
         AttemptOutcome::Returned => {
             let work = work.map(|work| work.as_secs_f64());
-            AttemptResult::Returned { elapsed: elapsed.as_secs_f64(), work, threads }
+            AttemptResult::Returned { elapsed: now.saturating_sub(sent_at).as_secs_f64(), work, threads }
         }
         AttemptOutcome::ConnectFailed | AttemptOutcome::Reset | AttemptOutcome::TimedOut => {
             AttemptResult::Failed
         }
         AttemptOutcome::Errored | AttemptOutcome::Rejected => AttemptResult::Answered,
-        AttemptOutcome::Cancelled | AttemptOutcome::NotSent => AttemptResult::Cancelled,
+        AttemptOutcome::Cancelled => AttemptResult::Cancelled { sent_at },
+        AttemptOutcome::NotSent => AttemptResult::NotSent { sent_at },
     }
 }
