Fleet: fencing tokens begin above the start time where no limit is stored

After the loss of a majority's folders resources refuse each new holder, or accept an older token beside it where they have seen nothing.

Change: a folder without a limit says so.

--- a/crates/edges/fleet/src/node/mod.rs
+++ b/crates/edges/fleet/src/node/mod.rs
@@ -105,10 +105,11 @@
         counters: Arc<TrafficCounters>,
     ) -> Node {
         // Fencing tokens must increase even if no voter remembers the earlier ones. They start above the limit in the
-        // state folder or, without a folder, above the start time in milliseconds. If that is not above all earlier
-        // tokens, because the folder is new or the clock was set back, resources report the highest token that they
-        // have seen.
-        let token_floor = state_folder.as_ref().map_or(start.unix_time_ms, StateFolder::token_floor);
+        // state folder or, without a folder or with a new one, above the start time in milliseconds. If that is not
+        // above all earlier tokens, because the clock was set back, resources report the highest token that they have
+        // seen.
+        let stored = state_folder.as_ref().and_then(StateFolder::token_floor);
+        let token_floor = stored.unwrap_or(start.unix_time_ms);
         let incarnation = Incarnation { name: config.name.clone(), id: start.incarnation };
         let (leases, voters) = (config.leases, config.voters.len());
         let fingerprint = config_fingerprint(&config);
--- a/crates/edges/fleet/src/state_folder.rs
+++ b/crates/edges/fleet/src/state_folder.rs
@@ -18,8 +18,8 @@
 /// An open state folder and its content.
 pub struct StateFolder {
     folder: PathBuf,
-    /// The stored limit: no reply grants a token above it before a higher limit has been written.
-    token_floor: u64,
+    /// The stored limit, if there is one: no reply grants a token above it before a higher limit has been written.
+    token_floor: Option<u64>,
     registers: Option<PersistentState>,
 }
 
@@ -33,8 +33,9 @@
         Ok(StateFolder { folder: folder.to_owned(), token_floor, registers })
     }
 
-    /// The stored limit, at least as high as any fencing token granted so far; 0 if none was stored.
-    pub fn token_floor(&self) -> u64 {
+    /// The stored limit, at least as high as any fencing token granted so far; none if the folder is new or was
+    /// emptied.
+    pub fn token_floor(&self) -> Option<u64> {
         self.token_floor
     }
 
@@ -46,10 +47,10 @@
     /// Must be called before a reply that grants this token is sent. Writes only if the token is above the stored
     /// limit.
     pub fn store_token(&mut self, fencing_token: u64) -> io::Result<()> {
-        if fencing_token > self.token_floor {
+        if self.token_floor.is_none_or(|token_floor| fencing_token > token_floor) {
             let token_floor = fencing_token + TOKEN_RESERVE;
             write_atomically(&self.folder, TOKEN_FILE, token_floor.to_string().as_bytes())?;
-            self.token_floor = token_floor;
+            self.token_floor = Some(token_floor);
         }
         Ok(())
     }
@@ -67,13 +68,13 @@
     }
 }
 
-/// Returns 0 if there is no file yet.
-fn read_token(folder: &Path) -> io::Result<u64> {
+/// Returns none if there is no file yet.
+fn read_token(folder: &Path) -> io::Result<Option<u64>> {
     match std::fs::read_to_string(folder.join(TOKEN_FILE)) {
-        Ok(text) => text.trim().parse().map_err(|_| {
+        Ok(text) => text.trim().parse().map(Some).map_err(|_| {
             io::Error::other("file 'fleet-number' does not contain a whole number (the fencing token limit)")
         }),
-        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(0),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
         Err(error) => Err(error),
     }
 }
--- a/crates/edges/fleet/tests/nodes.rs
+++ b/crates/edges/fleet/tests/nodes.rs
@@ -305,7 +305,10 @@
 
 /// The replies of a voter that is no longer silent to these messages, delivered in this order.
 fn replies(messages: &[Vec<u8>]) -> Vec<LeaseReply> {
-    let mut voter = node(0);
+    replies_of(&mut node(0), messages)
+}
+
+fn replies_of(voter: &mut Node, messages: &[Vec<u8>]) -> Vec<LeaseReply> {
     let now = SILENT_TIME;
     voter.poll(now);
     voter.take_outgoing();
@@ -332,3 +335,34 @@
     let (first, second) = (sealed(1, accept(1)), sealed(2, accept(1)));
     assert_eq!(replies(&[second.clone(), first.clone(), first, second]).len(), 2);
 }
+
+/// The fencing token that a voter promises after it has started at this Unix time, in milliseconds. It then grants the
+/// next one.
+fn promised_token(folder: &std::path::Path, unix_time_ms: u64) -> u64 {
+    let parameters = StartParameters { address: address(0), incarnation: 1, unix_time_ms, seed: 1 };
+    let state_folder = StateFolder::open(folder).unwrap();
+    let mut voter =
+        Node::new(config(0), parameters, Some(state_folder), Arc::new(TrafficCounters::default()));
+    let client = Incarnation { name: "speaker".to_owned(), id: 5 };
+    let ballot = Ballot { round: 1, proposer: 5 };
+    let prepare = LeaseRequest::Prepare { task: "account".to_owned(), ballot, client: client.clone() };
+    let promises = replies_of(&mut voter, &[sealed(1, Body::LeaseRequest(prepare))]);
+    let [LeaseReply::Promise { fencing_token: promised, .. }] = promises[..] else { panic!("{promises:?}") };
+    let accept =
+        LeaseRequest::Accept { task: "account".to_owned(), ballot, client, fencing_token: promised + 1 };
+    assert_eq!(replies_of(&mut voter, &[sealed(2, Body::LeaseRequest(accept))]).len(), 1);
+    promised
+}
+
+/// Guards against tokens that begin anew below those that resources have seen, after the loss of a state folder.
+#[test]
+fn fencing_tokens_increase_over_restarts_and_the_loss_of_the_state_folder() {
+    let folder = std::env::temp_dir().join(format!("lemonusher-tokens-{}", std::process::id()));
+    let first = promised_token(&folder, 1_000_000);
+    let after_restart = promised_token(&folder, 1_000_001);
+    assert!(after_restart > first, "{after_restart}, {first}");
+    std::fs::remove_dir_all(&folder).unwrap();
+    let after_loss = promised_token(&folder, 2_000_000);
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert!(after_loss > after_restart, "{after_loss}, {after_restart}");
+}
--- a/crates/edges/fleet/tests/wire_compatibility.rs
+++ b/crates/edges/fleet/tests/wire_compatibility.rs
@@ -352,7 +352,7 @@
         std::fs::copy(fixture(file), folder.join(file)).unwrap();
     }
     let disk = StateFolder::open(&folder).unwrap();
-    assert_eq!((disk.token_floor(), disk.registers()), (70_000 + 1000, Some(registers())));
+    assert_eq!((disk.token_floor(), disk.registers()), (Some(70_000 + 1000), Some(registers())));
     std::fs::remove_dir_all(&folder).unwrap();
     let mut disk = StateFolder::open(&folder).unwrap();
     disk.store_token(70_000).unwrap();
