Fleet: a full queue to the router drops no update of another kind

Change: what finds no room waits in the fleet's thread, and only a newer update of the same kind replaces it. Unit test slow_router_gets_the_latest_update_of_each_kind; with the old rule put back (scratch copy) it fails.

--- a/crates/edges/fleet/src/lib.rs
+++ b/crates/edges/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 mod frame;
 mod maintenance;
 mod node;
+mod pending_updates;
 mod replay_window;
 mod state_folder;
 mod thread;
--- a/crates/edges/fleet/src/thread.rs
+++ b/crates/edges/fleet/src/thread.rs
@@ -5,6 +5,7 @@
 use crate::counters::{TrafficCounters, add, increment};
 use crate::frame::MAX_DATAGRAM_BYTES;
 use crate::node::{ClusterStats, Datagram, Message, Node, StartParameters};
+use crate::pending_updates::PendingUpdates;
 use crate::state_folder::StateFolder;
 use async_channel::{Receiver, Sender};
 use lemonusher_routing::ControlUpdate;
@@ -21,7 +22,7 @@
 const MIN_WAIT: Duration = Duration::from_millis(1);
 /// Interval at which the statistics are updated.
 const STATS_INTERVAL: Duration = Duration::from_secs(1);
-/// Maximum number of updates queued for the router; when the queue is full, the oldest is dropped.
+/// Capacity of the router's queue of updates. While it is full, the latest update of each kind waits here.
 const MAX_QUEUED_UPDATES: usize = 64;
 /// Maximum number of further datagrams received between two polls, after the first one.
 const MAX_DATAGRAMS_PER_ROUND: usize = 256;
@@ -30,8 +31,8 @@
 
 /// Handle of a running fleet thread. Dropping it releases the front's leases and stops the thread.
 pub struct FleetHandle {
-    /// Updates for this front's router, in order. If the router reads too slowly, the oldest are dropped. Each
-    /// update replaces the earlier one of the same kind.
+    /// Updates for this front's router, in order. Each replaces the earlier one of the same kind. If the router
+    /// reads too slowly, it misses updates that a later one has replaced, and no others.
     pub control_updates: Receiver<ControlUpdate>,
     /// The UDP address that the thread has bound.
     pub address: SocketAddr,
@@ -70,6 +71,7 @@
     stats: Arc<Mutex<ClusterStats>>,
     next_stats: Duration,
     updates: Sender<ControlUpdate>,
+    pending_updates: PendingUpdates,
 }
 
 /// Binds the sockets, opens the state folder and starts the thread. Returns an error if any of these fails.
@@ -96,6 +98,7 @@
         stats: stats.clone(),
         next_stats: Duration::ZERO,
         updates,
+        pending_updates: PendingUpdates::default(),
     };
     let is_stopping = stopping.clone();
     let thread = std::thread::Builder::new().name("fleet".to_owned()).spawn(move || {
@@ -169,9 +172,9 @@
             let _ = self.actions.send_to(&bytes, to);
         }
         for update in self.node.take_control_updates() {
-            // Drops the oldest update if the queue is full, so that a slow router does not block this thread.
-            let _ = self.updates.force_send(update);
+            self.pending_updates.add(update);
         }
+        self.pending_updates.send(&self.updates);
     }
 
     fn end(&mut self) {
