--- a/crates/core/external-call/src/calls.rs
+++ b/crates/core/external-call/src/calls.rs
@@ -22,8 +22,8 @@
     streams: BTreeMap<StreamId, RequestId>,
     /// The request of each open stream whose rejection may not have been written yet, if the proxies fail open.
     rejected_streams: BTreeMap<StreamId, RequestId>,
-    /// The request of each attempt that is kept for the proxy's retry.
-    kept_attempts: BTreeMap<AttemptToken, RequestId>,
+    /// The request of each attempt that is reserved for the proxy's retry.
+    reserved_attempts: BTreeMap<AttemptToken, RequestId>,
     timeouts: BTreeSet<Timeout>,
     finished: FinishedCalls,
     round_trip: RoundTripEstimate,
@@ -36,7 +36,7 @@
             calls: BTreeMap::new(),
             streams: BTreeMap::new(),
             rejected_streams: BTreeMap::new(),
-            kept_attempts: BTreeMap::new(),
+            reserved_attempts: BTreeMap::new(),
             timeouts: BTreeSet::new(),
             finished: FinishedCalls::new(
                 config.unknown_outcome_retention,
@@ -104,7 +104,7 @@
                 self.end_attempt(now, request, granted, outcome)
             }
             // Either the proxy timed out before it read our response, or the client disconnected, or the
-            // proxy lost the connection to the engine. These cases can't be told apart. The proxy may have
+            // proxy lost the connection to the engine. These cases can't be distinguished. The proxy may have
             // read the response just in time, so the attempt may have run.
             CallState::InFlight { stream: current, granted } if current == stream => {
                 self.end_attempt(now, request, granted, AttemptOutcome::Reset)
@@ -210,7 +210,7 @@
             CallState::AwaitingRetry { granted, until } => {
                 self.remove_timeout(until, request);
                 if let Some(granted) = granted {
-                    self.kept_attempts.remove(&granted.token);
+                    self.reserved_attempts.remove(&granted.token);
                     actions.push(not_sent(granted));
                 }
             }
--- a/crates/core/external-call/src/calls/verdicts.rs
+++ b/crates/core/external-call/src/calls/verdicts.rs
@@ -1,4 +1,4 @@
-//! What the request router decides: attempts, withdrawals and final responses, and what the proxies are told.
+//! What the request router decides: attempts, withdrawals and final responses, and the responses to the proxies.
 
 use super::{ExternalCalls, not_sent, respond};
 use crate::earlier_attempts::SeenAttempts;
@@ -11,7 +11,7 @@
 
 impl ExternalCalls {
     /// Handles an attempt that the request router grants to a request. It is forwarded at once if the proxy
-    /// waits for a response, kept if the proxy's retry is expected, and ends as not sent otherwise.
+    /// waits for a response, reserved if the proxy's retry is expected, and ends as not sent otherwise.
     pub fn handle_attempt(
         &mut self,
         now: Duration,
@@ -26,9 +26,9 @@
                 actions
             }
             CallState::AwaitingResponse { .. } => self.forward(now, request, granted),
-            CallState::AwaitingRetry { granted: kept, .. } if kept.is_none() => {
-                *kept = Some(granted);
-                self.kept_attempts.insert(granted.token, request.clone());
+            CallState::AwaitingRetry { granted: reserved, .. } if reserved.is_none() => {
+                *reserved = Some(granted);
+                self.reserved_attempts.insert(granted.token, request.clone());
                 Vec::new()
             }
             _ => vec![not_sent(granted)],
@@ -54,7 +54,7 @@
         request: &RequestId,
         granted: GrantedAttempt,
     ) -> Vec<CallAction> {
-        self.kept_attempts.remove(&granted.token);
+        self.reserved_attempts.remove(&granted.token);
         let Some(call) = self.calls.get_mut(request) else { return vec![not_sent(granted)] };
         let CallState::AwaitingResponse { stream, deadline, .. } = call.state else {
             return vec![not_sent(granted)];
@@ -72,10 +72,10 @@
         vec![respond(stream, CallResponse::Forward { engine, token, upstream_timeout, attempt })]
     }
 
-    /// Handles the request router's withdrawal of an attempt. One that is kept for the proxy's retry ends as not sent;
-    /// one that the proxy was told to forward can't be stopped.
+    /// Handles the request router's withdrawal of an attempt. One that is reserved for the proxy's retry ends as not sent;
+    /// one that the proxy was instructed to forward can't be stopped.
     pub fn handle_withdrawal(&mut self, token: AttemptToken) -> Vec<CallAction> {
-        let Some(request) = self.kept_attempts.remove(&token) else { return Vec::new() };
+        let Some(request) = self.reserved_attempts.remove(&token) else { return Vec::new() };
         let Some(call) = self.calls.get_mut(&request) else { return Vec::new() };
         let CallState::AwaitingRetry { granted, .. } = &mut call.state else { return Vec::new() };
         granted.take().into_iter().map(not_sent).collect()
@@ -142,7 +142,7 @@
         actions
     }
 
-    /// Sends the last response to a proxy. The stream of a rejection is kept until its end tells whether the rejection was
+    /// Sends the last response to a proxy. The stream of a rejection is kept until its end shows whether the rejection was
     /// written, if the proxy fails open.
     pub(super) fn respond_last(
         &mut self,
--- a/crates/core/external-call/src/earlier_attempts.rs
+++ b/crates/core/external-call/src/earlier_attempts.rs
@@ -14,7 +14,7 @@
     /// Whether the client marked the request as a retry. All attempts that a proxy makes of a request have the
     /// same mark.
     client_retry: bool,
-    /// The last one that the proxy was told to forward. The proxy's retry has its continuation token.
+    /// The last one that the proxy was instructed to forward. The proxy's retry has its continuation token.
     forwarded: Option<AttemptToken>,
 }
 
@@ -34,7 +34,7 @@
         *self = SeenAttempts::begin(message, Some(*self));
     }
 
-    /// Records that the proxy was told to forward the last attempt.
+    /// Records that the proxy was instructed to forward the last attempt.
     pub(crate) fn forward(&mut self, token: AttemptToken) {
         self.forwarded = Some(token);
     }
--- a/crates/core/external-call/src/finished.rs
+++ b/crates/core/external-call/src/finished.rs
@@ -11,7 +11,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum FinishedOutcome {
     /// None of these attempts ran. Nothing is known of any other. Without them, only a new request of a client that
-    /// was told to come back is known to be safe.
+    /// was invited to retry is known to be safe.
     NeverRan(Option<SeenAttempts>),
     /// An attempt ran, or may have run.
     MayHaveRun,
--- a/crates/core/external-call/src/lib.rs
+++ b/crates/core/external-call/src/lib.rs
@@ -8,7 +8,7 @@
 //!
 //! - Before a response that tells the proxy to forward the request is written, no attempt ran.
 //! - After that, the attempt may have run, until the proxy reports how it ended.
-//! - An attempt that is kept for the proxy's retry is forwarded only while it may start, and not once the request
+//! - An attempt that is reserved for the proxy's retry is forwarded only while it may start, and not once the request
 //!   router has withdrawn it.
 //! - A rejection that a proxy with `failure_mode_allow` may have read too late proves nothing.
 //! - If a stream ends without a response from the engine, the outcome is unknown, however late the forward response
--- a/crates/core/external-call/src/messages.rs
+++ b/crates/core/external-call/src/messages.rs
@@ -14,9 +14,9 @@
     /// The request has no token.
     #[default]
     Absent,
-    /// This processor told the proxy to forward this attempt.
+    /// This processor instructed the proxy to forward this attempt.
     ForwardedHere(AttemptToken),
-    /// Another processor told the proxy to forward an attempt, or an earlier process of this one did, or the token
+    /// Another processor instructed the proxy to forward an attempt, or an earlier process of this one did, or the token
     /// can't be verified.
     ForwardedElsewhere,
 }
@@ -59,7 +59,7 @@
 }
 
 impl GrantedAttempt {
-    /// Returns whether the proxy may be told at `now` to forward it.
+    /// Returns whether the proxy may be instructed at `now` to forward it.
     pub(crate) fn may_start(&self, now: Duration) -> bool {
         now < self.until && self.start_by.is_none_or(|start_by| now < start_by)
     }
@@ -76,7 +76,7 @@
         token: AttemptToken,
         /// How long the proxy waits for the engine's response.
         upstream_timeout: Duration,
-        /// Index among the attempts that the proxy was told to forward in this call, from 0.
+        /// Index among the attempts that the proxy was instructed to forward in this call, from 0.
         attempt: u32,
     },
     /// Respond to the client that the request did not run and a retry is safe.
--- a/crates/core/external-call/src/rejection.rs
+++ b/crates/core/external-call/src/rejection.rs
@@ -1,4 +1,4 @@
-//! The rule for a request that gets no verdict: what its proxy is told, and what is stored about its attempts.
+//! The rule for a request that gets no verdict: the response to its proxy, and what is stored about its attempts.
 //!
 //! A proxy that fails closed forwards nothing without a verdict, so the attempt never ran. A proxy that fails open
 //! forwards the request by itself once its timer has expired, and this processor does not learn whether it read the
--- a/crates/core/external-call/src/state.rs
+++ b/crates/core/external-call/src/state.rs
@@ -23,7 +23,7 @@
         /// Total extension of the proxy's timeout so far.
         total_extension: Duration,
     },
-    /// The proxy was told to forward the request; no headers of the engine's response were received so far.
+    /// The proxy was instructed to forward the request; no headers of the engine's response were received so far.
     InFlight { stream: StreamId, granted: GrantedAttempt },
     /// The headers of the engine's response were received and state this outcome; the stream has not ended.
     Responding { stream: StreamId, granted: GrantedAttempt, outcome: AttemptOutcome },
@@ -41,7 +41,7 @@
 pub(crate) struct Call {
     pub state: CallState,
     pub idempotency: Idempotency,
-    /// Number of attempts that the proxy was told to forward.
+    /// Number of attempts that the proxy was instructed to forward.
     pub forwarded_attempts: u32,
     /// The attempts that this processor has seen.
     pub seen: SeenAttempts,
--- a/crates/core/external-call/src/token.rs
+++ b/crates/core/external-call/src/token.rs
@@ -65,7 +65,7 @@
     pub attempt: u32,
     /// Unix time in milliseconds after which the token is expired.
     pub valid_until_ms: u64,
-    /// The processor that told the proxy to forward that attempt. Earlier releases issued tokens without it.
+    /// The processor that instructed the proxy to forward that attempt. Earlier releases issued tokens without it.
     pub processor: Option<ProcessorId>,
     /// That attempt's number at this processor.
     pub number: AttemptToken,
--- a/crates/core/external-call/tests/attempts_elsewhere.rs
+++ b/crates/core/external-call/tests/attempts_elsewhere.rs
@@ -104,9 +104,9 @@
     }
 }
 
-/// Guards against a second run by an attempt that is kept for the proxy's retry, when an attempt elsewhere may have run.
+/// Guards against a second run by an attempt that is reserved for the proxy's retry, when an attempt elsewhere may have run.
 #[test]
-fn attempt_kept_for_a_retry_is_not_given_to_a_request_that_may_have_run_elsewhere() {
+fn attempt_reserved_for_a_retry_is_not_given_to_a_request_that_may_have_run_elsewhere() {
     let keyed =
         Idempotency::IdempotencyKeyed { scope: DeduplicationScope::Everywhere, retention: ms(10_000) };
     for idempotency in [Idempotency::NonIdempotent, keyed] {
@@ -213,7 +213,7 @@
 fn rejection_in_time_explains_no_retry_of_a_proxy_that_fails_open() {
     let (mut calls, at, response) = after_rejection_with_failure_mode_allow(ms(0));
     assert_eq!(response, CallResponse::Reject { retry_after: None });
-    // The client comes back, because it was told to.
+    // The client sends the request again, because it was invited to retry.
     assert!(is_submitted(&calls.handle_request(at + ms(200), message(2, 1, ABSENT))));
     let (mut calls, at, _) = after_rejection_with_failure_mode_allow(ms(0));
     let actions = calls.handle_request(at + ms(110), message(2, 2, ABSENT));
--- a/crates/core/external-call/tests/calls.rs
+++ b/crates/core/external-call/tests/calls.rs
@@ -98,7 +98,7 @@
     );
     calls.handle_response_headers(1, AttemptOutcome::Rejected);
     assert_eq!(outcomes(&calls.handle_stream_end(ms(10), 1, true)), [(10, AttemptOutcome::Rejected)]);
-    // An attempt granted before the retry arrives is kept for it.
+    // An attempt granted before the retry arrives is reserved for it.
     assert!(calls.handle_attempt(ms(10), &request, grant(ms(20), 11, 8)).is_empty());
     let retry = |stream| CallRequest {
         attempt: 2,
@@ -216,20 +216,20 @@
     calls
 }
 
-fn retry_of_the_kept(stream: u64) -> CallRequest {
+fn retry_of_the_reserved(stream: u64) -> CallRequest {
     let token = TokenEvidence::ForwardedHere(10);
     CallRequest { attempt: 2, token, ..call_request(stream, "b", IDEMPOTENT) }
 }
 
 /// Guards against an attempt that was granted ahead for a retry and is forwarded when it may no longer start.
 #[test]
-fn kept_attempt_is_forwarded_only_while_it_may_start() {
+fn reserved_attempt_is_forwarded_only_while_it_may_start() {
     let mut calls = keeping_an_attempt();
     let forwarded =
         CallResponse::Forward { engine: 8, token: 11, upstream_timeout: ms(900 - 89), attempt: 1 };
-    assert_eq!(responses(&calls.handle_request(ms(99), retry_of_the_kept(2))), [(2, forwarded)]);
+    assert_eq!(responses(&calls.handle_request(ms(99), retry_of_the_reserved(2))), [(2, forwarded)]);
     let mut calls = keeping_an_attempt();
-    let actions = calls.handle_request(ms(100), retry_of_the_kept(2));
+    let actions = calls.handle_request(ms(100), retry_of_the_reserved(2));
     assert_eq!(outcomes(&actions), [(11, AttemptOutcome::NotSent)]);
     assert_eq!(responses(&actions), []);
     // The retry waits, and gets what the router grants next.
@@ -253,8 +253,8 @@
     let mut calls = keeping_an_attempt();
     assert_eq!(outcomes(&calls.handle_withdrawal(11)), [(11, AttemptOutcome::NotSent)]);
     assert!(calls.handle_withdrawal(11).is_empty());
-    assert!(calls.handle_request(ms(20), retry_of_the_kept(2)).is_empty());
-    // An attempt that the proxy was told to forward can't be withdrawn.
+    assert!(calls.handle_request(ms(20), retry_of_the_reserved(2)).is_empty());
+    // An attempt that the proxy was instructed to forward can't be withdrawn.
     assert_eq!(
         responses(&calls.handle_attempt(ms(20), &"b".into(), grant(ms(20), 12, 9))),
         forward(2, 9, 12, 1)
--- a/crates/core/external-call/tests/random_failures.rs
+++ b/crates/core/external-call/tests/random_failures.rs
@@ -1,6 +1,6 @@
 //! Random sequences of failures of proxies, engines and processors. Two processors serve the same requests, and the
 //! proxy may call either for each attempt. Without `failure_mode_allow` a non-idempotent request never runs twice;
-//! with it, no response of a processor forwards one that may have run. No client is told that a retry is safe if it
+//! with it, no response of a processor forwards one that may have run. No client is informed that a retry is safe if it
 //! is not. Every stream gets at most one final response, and every attempt that a restart of its processor does not
 //! lose ends with one outcome.
 
@@ -379,7 +379,7 @@
                 request.was_rejected = matches!(response, CallResponse::Reject { .. });
                 assert!(
                     is_safe || !request.was_rejected,
-                    "{} may have run, and its client is told to retry",
+                    "{} may have run, and its client is invited to retry",
                     request.id
                 );
                 self.send(processor, Input::StreamEnd { stream, complete: true });
--- a/crates/edges/front/src/program/clients/reading.rs
+++ b/crates/edges/front/src/program/clients/reading.rs
@@ -274,7 +274,7 @@
         (!self.accepting.get()).then_some(ReadEnd::LimitExceeded)
     }
 
-    /// Handles a client that no longer waits for a request. The router is told only if it has received the request.
+    /// Handles a client that no longer waits for a request. The router is notified only if it has received the request.
     fn revoke(self: &Rc<Self>, ticket: u64) {
         let revoked = self.open_requests.borrow_mut().remove(&ticket);
         log::debug!("the client revoked its request {ticket}; request id if still open: {revoked:?}");
