Front: a client's input is read before an attempt only after a stall

Need: since each attempt of a request whose client had said nothing for 10 ms cost a read and a wake-up of the client's task. The rule needs the read only when the process has not run.

A client that leaves during a shorter pause is noticed within 50 ms of the 100 that are allowed.

--- a/crates/edges/front/src/program/clients/reading.rs
+++ b/crates/edges/front/src/program/clients/reading.rs
@@ -4,9 +4,9 @@
 //! forwarded at its end. If the pass finds that the client has disconnected, its requests are dropped before they
 //! start, however long they waited unread. The limit of open requests limits how many events are held back.
 //!
-//! A pass is also made just before an attempt of one of the connection's requests is written, unless the last one was
-//! a moment ago. What the client sent before, such as its disconnection, is therefore known, in whatever order the
-//! tasks run after the process has not run for some time.
+//! After the process has not run for some time, a pass is also made just before an attempt of one of the connection's
+//! requests is written, unless the last one was a moment ago. What the client sent before, such as its disconnection,
+//! is therefore known, in whatever order the tasks run.
 
 use super::session::{ClientSession, MAX_DISCARDED_BYTES, MAX_OPEN_REQUESTS};
 use crate::protocol::client::{
@@ -69,8 +69,8 @@
     }
 }
 
-/// The reading side of a connection. The connection's task reads whenever bytes arrive. The engine driver
-/// makes it read too, just before an attempt is written: the task may not have run since the client disconnected.
+/// The reading side of a connection. The connection's task reads whenever bytes arrive. After a
+/// stall, the engine driver makes it read too, just before an attempt is written: the task may not have run since the client disconnected.
 pub(super) struct ClientInput {
     lines: RefCell<LineReader>,
     /// Events that the router has not received yet, in order.
@@ -153,10 +153,14 @@
         }
     }
 
-    /// Reads what the client has sent, unless that was done within [`MAX_INPUT_AGE`], so that the request of a client
-    /// that has left counts as abandoned. The connection's task forwards the events.
+    /// After a stall of this process, reads what the client has sent, unless that was done within [`MAX_INPUT_AGE`], so
+    /// that the request of a client that has left counts as abandoned. The connection's task forwards the events.
     pub(super) fn catch_up_with_client(self: &Rc<Self>) {
         let input = &self.input;
+        // Without a stall, this connection's task has run since its input arrived.
+        if self.shared.stall_detector.delay(Instant::now()).is_zero() {
+            return;
+        }
         let is_reading = input.end.get().is_none() && self.accepting.get();
         if is_reading && input.read_at.get().elapsed() > MAX_INPUT_AGE {
             self.read_available();
--- a/crates/edges/front/tests/unit/reading.rs
+++ b/crates/edges/front/tests/unit/reading.rs
@@ -28,7 +28,8 @@
         line_memory: MemoryBudget::new(1 << 20),
         reply_memory: MemoryBudget::new(1 << 20),
         descriptor_limits: DescriptorLimits::of(1024),
-        stall_detector: StallDetector::new(Duration::from_secs(60)),
+        // It is never polled, so this process counts as one that does not run.
+        stall_detector: StallDetector::new(Duration::ZERO),
         connect_timeout: Duration::from_secs(1),
         slow_start_since: None,
         settings,
