Soak: wait until the kernel stamps packets before their times are recorded

Cause: the kernel starts to stamp packets a moment after the first socket asks for it (SO_TIMESTAMPNS, a deferred switch for the whole machine), so the first message of a fresh process has no time, and the reader falls back to its lower bound.

ReceiveTimestamps turns the stamps on, waits for a packet that has one, and keeps them on; a TimedReader can't be made without it. The soak's engines hold one each, so their bounds are tighter too. The test's assertions are unchanged.

--- a/crates/testing/soak/src/arrival.rs
+++ b/crates/testing/soak/src/arrival.rs
@@ -4,20 +4,50 @@
 //! each read, but one time only: that of the last segment. Segments that wait in the receive queue are merged, so
 //! messages that are read together have no time of their own, except the last. For the others, the bound is the
 //! last time at which the queue was found empty.
+//!
+//! The kernel stamps packets only while some socket asks for it, and starts to a moment after the first one has.
+//! [`ReceiveTimestamps`] waits for this moment, and keeps the stamps on.
 
 use nix::cmsg_space;
 use nix::errno::Errno;
 use nix::sys::socket::sockopt::ReceiveTimestampns;
 use nix::sys::socket::{ControlMessageOwned, MsgFlags, recvmsg, setsockopt};
 use nix::sys::time::TimeSpec;
-use std::io::{self, IoSliceMut};
-use std::net::TcpStream;
+use std::io::{self, IoSliceMut, Write};
+use std::net::{TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 /// Bytes read per system call: more than the front has under way on a connection at a time.
 const READ_BYTES: usize = 256 * 1024;
 
+/// Longest wait for the kernel to start to stamp packets.
+const MAX_ENABLE_TIME: Duration = Duration::from_secs(10);
+
+/// Keeps the kernel's receive timestamps on: while this exists, every packet has one.
+pub struct ReceiveTimestamps {
+    _stamped: TcpStream,
+}
+
+impl ReceiveTimestamps {
+    /// Turns the timestamps on, and returns once a packet has had one.
+    pub fn enable() -> io::Result<ReceiveTimestamps> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let mut writer = TcpStream::connect(listener.local_addr()?)?;
+        writer.set_nodelay(true)?;
+        let stamped = listener.accept()?.0;
+        setsockopt(&stamped, ReceiveTimestampns, &true)?;
+        let started_at = Instant::now();
+        while started_at.elapsed() < MAX_ENABLE_TIME {
+            writer.write_all(&[0])?;
+            if receive(&stamped, &mut [0], MsgFlags::empty())?.1.is_some() {
+                return Ok(ReceiveTimestamps { _stamped: stamped });
+            }
+        }
+        Err(io::ErrorKind::TimedOut.into())
+    }
+}
+
 /// A message: its first line without the line end, and the earliest time at which the kernel can have received it.
 #[derive(Debug, PartialEq, Eq)]
 pub struct TimedMessage {
@@ -46,8 +76,13 @@
 }
 
 impl TimedReader {
-    /// Wraps a connection that was established at `connected_from` at the earliest, and from which nothing has been read.
-    pub fn new(stream: TcpStream, connected_from: SystemTime) -> io::Result<TimedReader> {
+    /// Wraps a connection that was established at `connected_from` at the earliest, while the timestamps were on, and
+    /// from which nothing has been read.
+    pub fn new(
+        stream: TcpStream,
+        connected_from: SystemTime,
+        _timestamps: &ReceiveTimestamps,
+    ) -> io::Result<TimedReader> {
         setsockopt(&stream, ReceiveTimestampns, &true)?;
         let last_read = ReadTimes { empty_at: connected_from, received_at: connected_from };
         Ok(TimedReader { stream, bytes: Vec::new(), buffer: vec![0; READ_BYTES], last_read })
@@ -79,10 +114,10 @@
     /// Waits for bytes, and reads all that have arrived. Fails at the end of the connection.
     fn read(&mut self) -> io::Result<()> {
         let mut empty_at = self.last_read.empty_at;
-        let (length, received_at) = match self.receive(MsgFlags::MSG_DONTWAIT) {
+        let (length, received_at) = match receive(&self.stream, &mut self.buffer, MsgFlags::MSG_DONTWAIT) {
             Err(Errno::EAGAIN) => {
                 empty_at = SystemTime::now();
-                self.receive(MsgFlags::empty())?
+                receive(&self.stream, &mut self.buffer, MsgFlags::empty())?
             }
             received => received?,
         };
@@ -95,16 +130,21 @@
         self.last_read = ReadTimes { empty_at, received_at };
         Ok(())
     }
+}
 
-    fn receive(&mut self, flags: MsgFlags) -> Result<(usize, Option<SystemTime>), Errno> {
-        loop {
-            let mut control = cmsg_space!(TimeSpec);
-            let mut slices = [IoSliceMut::new(&mut self.buffer)];
-            match recvmsg::<()>(self.stream.as_raw_fd(), &mut slices, Some(&mut control), flags) {
-                Err(Errno::EINTR) => {}
-                Err(error) => return Err(error),
-                Ok(message) => return Ok((message.bytes, message.cmsgs()?.find_map(receive_time))),
-            }
+/// Receives bytes, and the receive time of the last of them where the kernel states one.
+fn receive(
+    stream: &TcpStream,
+    buffer: &mut [u8],
+    flags: MsgFlags,
+) -> Result<(usize, Option<SystemTime>), Errno> {
+    loop {
+        let mut control = cmsg_space!(TimeSpec);
+        let mut slices = [IoSliceMut::new(buffer)];
+        match recvmsg::<()>(stream.as_raw_fd(), &mut slices, Some(&mut control), flags) {
+            Err(Errno::EINTR) => {}
+            Err(error) => return Err(error),
+            Ok(message) => return Ok((message.bytes, message.cmsgs()?.find_map(receive_time))),
         }
     }
 }
--- a/crates/testing/soak/src/engine.rs
+++ b/crates/testing/soak/src/engine.rs
@@ -1,6 +1,6 @@
 //! Fake engines that serve or fail at random, by their drawn health, and record every attempt that they receive.
 
-use crate::arrival::TimedReader;
+use crate::arrival::{ReceiveTimestamps, TimedReader};
 use crate::recorder::Recorder;
 use crate::records::AttemptRecord;
 use crate::scenario::EngineHealth;
@@ -42,6 +42,7 @@
 /// Starts an engine, and returns its address. Its thread ends with the first connection after the run is over, or
 /// with the process.
 pub(crate) fn start(recorder: &Arc<Recorder>, engine: u32, health: EngineHealth, seed: u64) -> SocketAddr {
+    let timestamps = Arc::new(ReceiveTimestamps::enable().unwrap());
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let recorder = recorder.clone();
@@ -61,7 +62,8 @@
                 rng: seeds.fork(),
                 cancelled: BTreeSet::new(),
             };
-            thread::spawn(move || connection.serve(stream, connected_from));
+            let timestamps = timestamps.clone();
+            thread::spawn(move || connection.serve(stream, connected_from, &timestamps));
         }
     });
     address
@@ -82,9 +84,9 @@
 }
 
 impl Connection {
-    fn serve(mut self, stream: TcpStream, connected_from: SystemTime) {
+    fn serve(mut self, stream: TcpStream, connected_from: SystemTime, timestamps: &ReceiveTimestamps) {
         let Ok(reading) = stream.try_clone() else { return };
-        let Ok(mut messages) = TimedReader::new(reading, connected_from) else { return };
+        let Ok(mut messages) = TimedReader::new(reading, connected_from, timestamps) else { return };
         while let Some(message) = messages.next_message(body_length) {
             let words: Vec<&str> = message.line.split(' ').collect();
             let [verb, id, ..] = words[..] else { return };
--- a/crates/testing/soak/src/lib.rs
+++ b/crates/testing/soak/src/lib.rs
@@ -20,7 +20,7 @@
 mod run;
 mod scenario;
 
-pub use arrival::{TimedMessage, TimedReader};
+pub use arrival::{ReceiveTimestamps, TimedMessage, TimedReader};
 pub use judge::{Rule, Violation, find_violations};
 pub use records::{
     AttemptRecord, DrainRecord, ProcessRecord, Recording, RequestClass, RequestRecord, ResponseKind,
--- a/crates/testing/soak/tests/arrival.rs
+++ b/crates/testing/soak/tests/arrival.rs
@@ -1,6 +1,6 @@
 //! The receive times of messages, on real connections whose reader runs late.
 
-use lemonusher_soak::TimedReader;
+use lemonusher_soak::{ReceiveTimestamps, TimedReader};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::thread;
@@ -9,17 +9,19 @@
 const PAUSE: Duration = Duration::from_millis(60);
 
 struct Connected {
+    _timestamps: ReceiveTimestamps,
     reader: TimedReader,
     writer: TcpStream,
 }
 
 fn connect() -> Connected {
+    let timestamps = ReceiveTimestamps::enable().unwrap();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let connected_from = SystemTime::now();
     let writer = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     writer.set_nodelay(true).unwrap();
-    let reader = TimedReader::new(listener.accept().unwrap().0, connected_from).unwrap();
-    Connected { reader, writer }
+    let reader = TimedReader::new(listener.accept().unwrap().0, connected_from, &timestamps).unwrap();
+    Connected { _timestamps: timestamps, reader, writer }
 }
 
 /// When a write began and had returned.
