Front: an unread drain is read before an attempt is written after a stall

What callers saw: after a stand-still longer than the drain grace, a request could reach an engine whose drain had been notified meanwhile (a broken rule on drains; the request waited there up to its deadline).

Cause: what clients and discovery sent during a stand-still is ready at once, and the order of the tasks is by chance. If the client's task, the router and the engine driver run before the discovery client, the attempt is written by the old list. Evidence: a unit test that never runs the discovery client fails without the check ("an attempt was written").

Fix: the channel's receiving side is DiscoveryInput, which knows the engines that the newest update lists as active. The engine driver asks it at the write; after a stall it reads what has arrived first. Updates read so are published later by the discovery client, each once and in order. The write no longer depends on the order.

--- a/crates/edges/front/src/program/discovery.rs
+++ b/crates/edges/front/src/program/discovery/mod.rs
@@ -2,28 +2,28 @@
 //! whenever the connection fails.
 //!
 //! The channel sends a frame each second, an empty one if nothing has changed. A channel without a frame for
-//! `SILENCE_TIMEOUT` counts as lost. After a reconnect, the events after the last published one are requested.
+//! some time counts as lost. After a reconnect, the events after the last published one are requested.
 //! An event counts as published only after it was sent to the router, because the future may be dropped at every
 //! await.
 
+mod input;
+
 use super::shared::Shared;
-use crate::protocol::discovery::{
-    self, DiscoveryError, EndpointRecord, EndpointState, EndpointUpdate, InitialEvents, MAX_FRAME_BYTES,
-};
-use crate::transport::{self, MemoryBudget, ReadError, ReadLimits, with_timeout};
+use crate::protocol::discovery::{self, EndpointRecord, EndpointState, EndpointUpdate, InitialEvents};
+use crate::transport::{self, with_timeout};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::{AsyncWriteExt, FutureExt};
+use input::ChannelLoss;
 use lemonusher::{EndpointUpdateKind, EngineId, EngineState};
 use lemonusher_routing::{Endpoint, RouterEvent};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use std::{fmt, io};
 
-/// Time without a complete frame after which the channel counts as lost.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(1800);
+pub use input::DiscoveryInput;
+
 /// Mean delay before the first reconnect. The delay doubles with each further one until a frame arrives.
 const MIN_RECONNECT_DELAY: Duration = Duration::from_millis(50);
 /// Longest mean delay before a reconnect.
@@ -39,40 +39,12 @@
     skipped_engines: BTreeSet<EngineId>,
 }
 
-/// Reason why a connection to the discovery channel was closed.
-enum ChannelLoss {
-    Io(io::Error),
-    /// The request for events could not be written in time.
-    WriteTimeout,
-    Silent,
-    Closed,
-    Read(ReadError<DiscoveryError>),
-    MissingEvents {
-        number: u64,
-        last_event: u64,
-    },
-}
-
-impl fmt::Display for ChannelLoss {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self {
-            ChannelLoss::Io(error) => write!(f, "{error}"),
-            ChannelLoss::WriteTimeout => write!(f, "request for events not written in time"),
-            ChannelLoss::Silent => write!(f, "no frame in time"),
-            ChannelLoss::Closed => write!(f, "closed by the server"),
-            ChannelLoss::Read(error) => write!(f, "{error}"),
-            ChannelLoss::MissingEvents { number, last_event } => {
-                write!(f, "event {number} follows event {last_event}: events are missing")
-            }
-        }
-    }
-}
-
 /// Publishes the initial events, then follows the channel at the latest address received.
 pub async fn run(shared: Rc<Shared>, addresses: Receiver<SocketAddr>, initial: InitialEvents) {
     let mut client =
         DiscoveryClient { shared, last_event: initial.last_event, skipped_engines: BTreeSet::new() };
     for update in initial.updates {
+        client.shared.discovery.apply(&update);
         client.publish(update, EndpointUpdateKind::Restored).await;
     }
     let (mut address, mut reconnect_delay) = (None, MIN_RECONNECT_DELAY);
@@ -121,29 +93,20 @@
             Some(Err(error)) => return ChannelLoss::Io(error),
             None => return ChannelLoss::WriteTimeout,
         }
-        let limits = ReadLimits {
-            bytes: MAX_FRAME_BYTES,
-            time: SILENCE_TIMEOUT,
-            memory: MemoryBudget::new(MAX_FRAME_BYTES * 2),
-        };
-        let mut frames = transport::read_messages(socket, limits, discovery::parse_frame);
+        let shared = self.shared.clone();
+        let reader = shared.discovery.attach(socket, self.last_event);
         loop {
-            let frame = match with_timeout(SILENCE_TIMEOUT, frames.next()).await {
-                Some(Some(Ok(frame))) => frame,
-                Some(Some(Err(error))) => return ChannelLoss::Read(error),
-                Some(None) => return ChannelLoss::Closed,
-                None => return ChannelLoss::Silent,
-            };
-            *reconnect_delay = MIN_RECONNECT_DELAY;
-            let is_full = matches!(frame.update, EndpointUpdate::Full(_));
-            if frame.update == EndpointUpdate::Empty || frame.number <= self.last_event {
-                continue;
+            let next = reader.next_update().await;
+            if reader.has_received_frame() {
+                *reconnect_delay = MIN_RECONNECT_DELAY;
             }
-            if frame.number > self.last_event + 1 && !is_full {
-                return ChannelLoss::MissingEvents { number: frame.number, last_event: self.last_event };
+            match next {
+                Ok(frame) => {
+                    self.publish(frame.update, EndpointUpdateKind::Full).await;
+                    self.last_event = frame.number; // After the publish, which may be dropped before it completes.
+                }
+                Err(loss) => return loss,
             }
-            self.publish(frame.update, EndpointUpdateKind::Full).await;
-            self.last_event = frame.number; // After the publish, which may be dropped before it completes.
         }
     }
 
--- a/crates/edges/front/src/program/engines/mod.rs
+++ b/crates/edges/front/src/program/engines/mod.rs
@@ -98,3 +98,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "../../../tests/unit/engines.rs"]
+mod tests;
--- a/crates/edges/front/src/program/engines/sending.rs
+++ b/crates/edges/front/src/program/engines/sending.rs
@@ -127,12 +127,15 @@
     }
 
     /// Writes a command on a connection with a free stream. An attempt starts at this moment, so its conditions are
-    /// checked here: they may have ceased to hold while it was queued.
+    /// checked here: they may have ceased to hold while it was queued. The engine may have started to drain, too,
+    /// without the router knowing, after this process did not run for some time.
     async fn write(self: &Rc<Self>, connection: &Rc<EngineConnection>, command: EngineCommand) {
         let now = Instant::now();
-        if let EngineCommand::Send { conditions, .. } = &command
-            && !conditions.are_met(now)
-        {
+        let is_allowed = match &command {
+            EngineCommand::Send { conditions, .. } => conditions.are_met(now),
+            _ => true,
+        };
+        if !is_allowed || !self.shared.may_receive(connection.engine) {
             return self.report_end(&command, AttemptOutcome::NotSent).await;
         }
         let Some(message) = self.encode(&command, now) else { return };
--- a/crates/edges/front/src/program/mod.rs
+++ b/crates/edges/front/src/program/mod.rs
@@ -11,3 +11,7 @@
 mod shared;
 mod shutdown;
 pub mod start;
+
+#[cfg(test)]
+#[path = "../../tests/unit/common.rs"]
+mod test_support;
--- a/crates/edges/front/src/program/shared.rs
+++ b/crates/edges/front/src/program/shared.rs
@@ -1,8 +1,10 @@
 //! State shared by the tasks of a front.
 
 use super::descriptor_limits::DescriptorLimits;
+use super::discovery::DiscoveryInput;
 use crate::transport::{MemoryBudget, StallDetector};
 use async_executor::LocalExecutor;
+use lemonusher::EngineId;
 use lemonusher_deployment::{LoadReportFields, Settings};
 use lemonusher_routing::{Counters, RouterEvent};
 use std::cell::Cell;
@@ -31,6 +33,8 @@
     pub line_memory: Rc<MemoryBudget>,
     /// Memory budget for partial replies and partial results of engines.
     pub reply_memory: Rc<MemoryBudget>,
+    /// What has been read from the discovery channel.
+    pub discovery: DiscoveryInput,
     /// Estimates how long input may have waited unread while this process did not run.
     pub stall_detector: StallDetector,
     /// Limits of descriptors for clients and engines.
@@ -41,3 +45,10 @@
     /// because it is unknown which attempts are still in flight there.
     pub slow_start_since: Option<Duration>,
 }
+
+impl Shared {
+    /// Whether an attempt or probe may be written to an engine, by all that has arrived on the discovery channel.
+    pub fn may_receive(&self, engine: EngineId) -> bool {
+        self.discovery.may_receive(engine, &self.stall_detector)
+    }
+}
--- a/crates/edges/front/src/program/start.rs
+++ b/crates/edges/front/src/program/start.rs
@@ -4,6 +4,7 @@
 use super::config::{FrontConfig, StartError};
 use super::control_channels::{FleetChannels, ManagementChannels};
 use super::descriptor_limits::DescriptorLimits;
+use super::discovery::DiscoveryInput;
 use super::external_processing::{self, ExternalProcessing};
 use super::shared::Shared;
 use super::shutdown::{self, AcceptingListener, ShutdownSchedule};
@@ -143,6 +144,7 @@
         line_memory: MemoryBudget::new(memory / PARTIAL_MEMORY_DIVISOR),
         reply_memory: MemoryBudget::new(memory / PARTIAL_MEMORY_DIVISOR),
         descriptor_limits,
+        discovery: DiscoveryInput::new(),
         stall_detector: StallDetector::new(STALL_DETECTOR_PERIOD),
         connect_timeout: Duration::from_micros(settings.capabilities.connect_timeout_us),
         slow_start_since: is_recovery
--- a/crates/edges/front/tests/unit/reading.rs
+++ b/crates/edges/front/tests/unit/reading.rs
@@ -1,10 +1,7 @@
 use super::*;
-use crate::program::descriptor_limits::DescriptorLimits;
-use crate::program::shared::Shared;
-use crate::transport::StallDetector;
+use crate::program::test_support::{self, QUEUE_LENGTH};
 use async_io::Async;
-use lemonusher_deployment::{LoadReportFields, Settings};
-use lemonusher_routing::{Counters, ResponseSink};
+use lemonusher_routing::ResponseSink;
 use std::io::Write;
 use std::net::{Shutdown, TcpListener, TcpStream};
 
@@ -14,28 +11,6 @@
     r#"{"jsonrpc":"2.0","id":ID,"method":"look-up","params":{"call":"CALL","ttl":9000,"data":"eA=="}}"#;
 const REVOKE: &str = r#"{"jsonrpc":"2.0","method":"revoke","params":{"id":1}}"#;
 
-fn shared() -> Rc<Shared> {
-    let settings: Settings = serde_json::from_value(lemonusher_fakes::settings()).unwrap();
-    let class_names = settings.request_classes.iter().map(|class| class.name.clone()).collect();
-    Rc::new(Shared {
-        load_fields: LoadReportFields::new(&settings),
-        counters: Rc::new(Counters::new(class_names)),
-        events: async_channel::bounded(64).0,
-        executor: Rc::default(),
-        shutting_down: false.into(),
-        unwritten_bytes: 0.into(),
-        max_unwritten_bytes: 1 << 20,
-        line_memory: MemoryBudget::new(1 << 20),
-        reply_memory: MemoryBudget::new(1 << 20),
-        descriptor_limits: DescriptorLimits::of(1024),
-        // It is never polled, so this process counts as one that does not run.
-        stall_detector: StallDetector::new(Duration::ZERO),
-        connect_timeout: Duration::from_secs(1),
-        slow_start_since: None,
-        settings,
-    })
-}
-
 /// A session whose task never runs, as after a stand-still in which the task of its engine connection ran first.
 struct Connected {
     session: Rc<ClientSession>,
@@ -49,7 +24,8 @@
     let client = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
     client.set_nodelay(true).unwrap();
     let socket = Async::new(listener.accept().unwrap().0).unwrap();
-    let session = Rc::new(ClientSession::new(shared(), Socket::new(socket), Duration::ZERO));
+    let shared = test_support::stalled(async_channel::bounded(QUEUE_LENGTH).0);
+    let session = Rc::new(ClientSession::new(shared, Socket::new(socket), Duration::ZERO));
     let connected = Connected { session, client: Some(client) };
     ids.iter().for_each(|id| connected.send_request(*id));
     connected.read_until(|session| session.open_requests.borrow().len() == ids.len());
