Router: attempts not yet sent are withdrawn from an engine that drains

An external processor reserves the next attempt for a proxy's retry. A drain ended only what the engine driver had queued, by its own endpoint list; the processor was not told, and forwarded the retry to the draining engine up to a retry window later. In the engine driver the same held for drains by a manager or for maintenance.

Fix: when an engine may get no more (or not this class), whatever the source, the router withdraws its attempts; written ones are not affected.

--- a/crates/core/external-call/src/calls/verdicts.rs
+++ b/crates/core/external-call/src/calls/verdicts.rs
@@ -6,7 +6,7 @@
 use crate::messages::{AttemptToken, CallAction, CallResponse, FinalResponse, GrantedAttempt, StreamId};
 use crate::rejection::{Rejection, Unanswered};
 use crate::state::{CallState, ResponseDeadline};
-use lemonusher::{Idempotency, RequestId};
+use lemonusher::{EngineId, Idempotency, RequestId};
 use std::time::Duration;
 
 impl ExternalCalls {
@@ -81,6 +81,16 @@
         granted.take().into_iter().map(not_sent).collect()
     }
 
+    /// Returns the attempt that is reserved for the retry of a request, and its engine.
+    pub fn reserved_attempt(&self, request: &RequestId) -> Option<(AttemptToken, EngineId)> {
+        match self.calls.get(request)?.state {
+            CallState::AwaitingRetry { granted, .. } => {
+                granted.map(|granted| (granted.token, granted.engine))
+            }
+            _ => None,
+        }
+    }
+
     /// Handles the request router's final response to a request.
     pub fn handle_final_response(
         &mut self,
--- a/crates/edges/front/src/program/external_processing.rs
+++ b/crates/edges/front/src/program/external_processing.rs
@@ -9,7 +9,9 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
-use lemonusher::{Deployment, EndpointUpdateKind, EngineId, EngineState, LoadReporting, RequestId};
+use lemonusher::{
+    AttemptOutcome, Deployment, EndpointUpdateKind, EngineId, EngineState, LoadReporting, RequestId,
+};
 use lemonusher_external_call::{
     CallAction, CallConfig, CallRequest, CallResponse, ExternalCalls, FinalResponse, GrantedAttempt, StreamId,
 };
@@ -170,6 +172,9 @@
 
     fn handle_command(&mut self, now: Duration, command: EngineCommand) -> Vec<CallAction> {
         match command {
+            EngineCommand::Send { token, engine, .. } if !self.shared.may_receive(engine) => {
+                vec![CallAction::EndAttempt { token, outcome: AttemptOutcome::NotSent }]
+            }
             EngineCommand::Send { token, engine, request, conditions, .. } => {
                 let since_start = |at: Instant| at.saturating_duration_since(self.started_at);
                 let granted = GrantedAttempt {
@@ -210,7 +215,9 @@
                 call_request.queued = received.elapsed();
                 let stream = ProxyStream { responses, queued: call_request.queued };
                 self.streams.insert(call_request.stream, stream);
-                self.calls.handle_request(now, call_request)
+                let mut actions = self.withdraw_unavailable(&call_request.request);
+                actions.extend(self.calls.handle_request(now, call_request));
+                actions
             }
             ProxyEvent::ResponseHeaders { stream, outcome } => {
                 self.calls.handle_response_headers(stream, outcome)
@@ -226,6 +233,14 @@
         }
     }
 
+    /// Withdraws the attempt that is reserved for the retry of a request, if its engine has started to drain since.
+    fn withdraw_unavailable(&mut self, request: &RequestId) -> Vec<CallAction> {
+        match self.calls.reserved_attempt(request) {
+            Some((token, engine)) if !self.shared.may_receive(engine) => self.calls.handle_withdrawal(token),
+            _ => Vec::new(),
+        }
+    }
+
     async fn execute(&mut self, actions: Vec<CallAction>) {
         for action in actions {
             match action {
--- a/crates/edges/routing/src/router/endpoints.rs
+++ b/crates/edges/routing/src/router/endpoints.rs
@@ -1,7 +1,7 @@
 //! Endpoint updates from three sources: the endpoint list of the discovery channel, the zone failover plan,
 //! and maintenance. The endpoint table merges them, and the gateway receives the resulting changes.
 
-use super::RequestRouter;
+use super::{InFlightAttempt, RequestRouter};
 use crate::counters::Counter;
 use crate::log_text::LoggedRestrictions;
 use crate::management::EngineNotification;
@@ -9,7 +9,7 @@
 use lemonusher::{EndpointUpdateKind, EngineEntry, EngineId, EngineState, Event};
 use lemonusher_membership::{EndpointChange, ZoneRestriction};
 use lemonusher_zone_failover::PlanEffect;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -104,7 +104,8 @@
         self.apply_endpoint_change(now, EndpointUpdateKind::Delta, change);
     }
 
-    /// Notifies management clients and the gateway of a change, and cancels the attempts that the change recalls.
+    /// Notifies management clients and the gateway of a change, cancels the attempts that the change recalls, and
+    /// withdraws those on engines that may get no more.
     pub(super) fn apply_endpoint_change(
         &mut self,
         now: Duration,
@@ -117,11 +118,32 @@
         for engine in &change.recalled {
             self.recall_attempts(*engine);
         }
+        self.withdraw_attempts(&change.entries);
         if kind != EndpointUpdateKind::Delta || !change.entries.is_empty() {
             self.gateway.handle_event(now, Event::Endpoints(kind, change.entries));
         }
     }
 
+    /// Withdraws the attempts on engines that, by these entries, may no longer get them. Those that have been written, or
+    /// that a proxy has been told to send, go on.
+    fn withdraw_attempts(&mut self, entries: &[EngineEntry]) {
+        let closed: BTreeMap<EngineId, &EngineEntry> = (entries.iter())
+            .filter(|entry| entry.state != EngineState::Active || entry.blocked_classes != 0)
+            .map(|entry| (entry.engine, entry))
+            .collect();
+        let is_withdrawn = |attempt: &InFlightAttempt| {
+            let entry = closed.get(&attempt.engine);
+            entry.is_some_and(|entry| {
+                entry.state != EngineState::Active || entry.blocks(attempt.request_class)
+            })
+        };
+        let withdrawn = self.attempts.iter().filter(|(_, attempt)| is_withdrawn(attempt));
+        let tokens: Vec<Token> = withdrawn.map(|(token, _)| *token).collect();
+        for token in tokens {
+            self.queue_command(EngineCommand::Withdraw(token));
+        }
+    }
+
     /// Cancels those attempts on an engine that its administrative state recalls.
     fn recall_attempts(&mut self, engine: EngineId) {
         let admin = self.endpoints.get(engine).map(|status| status.admin).unwrap_or_default();
