File operations of stored state in a crate of their own

Need: the fleet's state folder is to be tested under injected errors as the managers' log is. The trait and the real file system move from managed to lemonusher-file-system, the test double to lemonusher-fakes; StateFolder stands on the trait. It keeps its folder open, so a sync needs no descriptor. A folder that a start creates is made durable in its parent (not covered by a test).

--- a/crates/edges/managed/src/file_system.rs
+++ b/crates/edges/file-system/src/lib.rs
@@ -1,4 +1,6 @@
-//! The file operations that the log needs. Tests replace them by a file system that fails and forgets.
+//! The file operations that stored state needs. Tests replace them by a file system that fails and forgets.
+
+#![warn(missing_docs)]
 
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, Read, Seek, SeekFrom, Write};
@@ -7,16 +9,18 @@
 /// A folder and the files in it.
 pub trait FileSystem {
     /// An open file.
-    type File: LogFile;
+    type File: StoredFile;
     /// An open folder.
     type Folder;
 
-    /// Creates a folder and its parents, unless it exists.
+    /// Creates a folder and its parents, unless it exists, and makes the names of the new ones durable.
     fn create_folder(&self, path: &Path) -> io::Result<()>;
     /// Opens a folder, so that it can be synced later without another descriptor.
     fn open_folder(&self, path: &Path) -> io::Result<Self::Folder>;
     /// Makes the names in a folder durable.
     fn sync_folder(&self, folder: &Self::Folder) -> io::Result<()>;
+    /// Opens a file as it is; fails with `NotFound` if there is none.
+    fn open_existing_file(&self, path: &Path) -> io::Result<Self::File>;
     /// Opens a file as it is, or creates it.
     fn open_file(&self, path: &Path) -> io::Result<Self::File>;
     /// Creates an empty file, or empties the one that is there.
@@ -30,7 +34,7 @@
 }
 
 /// A file that is read whole, written at its end, and truncated.
-pub trait LogFile {
+pub trait StoredFile {
     /// Reads the whole file, from its beginning.
     fn read(&mut self) -> io::Result<Vec<u8>>;
     /// Writes bytes at the end. After an error any part of them may have been written.
@@ -50,7 +54,13 @@
     type Folder = File;
 
     fn create_folder(&self, path: &Path) -> io::Result<()> {
-        std::fs::create_dir_all(path)
+        let missing: Vec<&Path> = path.ancestors().take_while(|folder| !folder.exists()).collect();
+        std::fs::create_dir_all(path)?;
+        for folder in missing {
+            let parent = folder.parent().filter(|parent| !parent.as_os_str().is_empty());
+            File::open(parent.unwrap_or(Path::new(".")))?.sync_all()?;
+        }
+        Ok(())
     }
 
     fn open_folder(&self, path: &Path) -> io::Result<File> {
@@ -61,6 +71,10 @@
         folder.sync_all()
     }
 
+    fn open_existing_file(&self, path: &Path) -> io::Result<File> {
+        File::open(path)
+    }
+
     fn open_file(&self, path: &Path) -> io::Result<File> {
         OpenOptions::new().read(true).write(true).create(true).truncate(false).open(path)
     }
@@ -84,7 +98,7 @@
     }
 }
 
-impl LogFile for File {
+impl StoredFile for File {
     fn read(&mut self) -> io::Result<Vec<u8>> {
         let mut bytes = Vec::new();
         self.seek(SeekFrom::Start(0))?;
--- a/crates/edges/fleet/src/state_folder.rs
+++ b/crates/edges/fleet/src/state_folder.rs
@@ -1,9 +1,18 @@
 //! A front's stored state: an upper limit of the fencing tokens that it granted, and a voter's registers. Each
 //! file is written under a temporary name and then renamed, so it is always complete.
 //!
+//! | step | a start finds |
+//! | --- | --- |
+//! | create, write and sync the temporary file | the old contents |
+//! | rename | the old contents or the new ones |
+//! | sync the folder | the new contents |
+//!
+//! A reply is sent only after the last step. After an error the next one writes the file again.
+//!
 //! `fleet-number` contains the limit as decimal text. `fleet-registers` contains a BLAKE3 hash (32 bytes),
 //! followed by the hashed bytes, which are the postcard encoding of [`PersistentState`].
 
+use lemonusher_file_system::{FileSystem, RealFileSystem, StoredFile};
 use lemonusher_registers::PersistentState;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -14,10 +23,14 @@
 const HASH_BYTES: usize = 32;
 const TOKEN_FILE: &str = "fleet-number";
 const REGISTERS_FILE: &str = "fleet-registers";
+/// Extension of the temporary files.
+const TEMPORARY_EXTENSION: &str = "new";
 
 /// An open state folder and its content.
-pub struct StateFolder {
+pub struct StateFolder<F: FileSystem = RealFileSystem> {
+    file_system: F,
     folder: PathBuf,
+    folder_handle: F::Folder,
     /// The stored limit, if there is one: no reply grants a token above it before a higher limit has been written.
     token_floor: Option<u64>,
     registers: Option<PersistentState>,
@@ -27,10 +40,25 @@
     /// Creates the folder if it is missing and reads it. Returns an error if a file can't be read or is
     /// corrupt.
     pub fn open(folder: &Path) -> io::Result<StateFolder> {
-        std::fs::create_dir_all(folder)?;
-        let token_floor = read_token(folder)?;
-        let registers = read_registers(folder)?;
-        Ok(StateFolder { folder: folder.to_owned(), token_floor, registers })
+        StateFolder::open_on(RealFileSystem, folder)
+    }
+}
+
+impl<F: FileSystem> StateFolder<F> {
+    /// Opens the folder on a file system.
+    fn open_on(file_system: F, folder: &Path) -> io::Result<StateFolder<F>> {
+        file_system.create_folder(folder)?;
+        let folder_handle = file_system.open_folder(folder)?;
+        let token_floor = read_file(&file_system, folder, TOKEN_FILE)?.map(|bytes| parse_token(&bytes));
+        let registers =
+            read_file(&file_system, folder, REGISTERS_FILE)?.map(|bytes| decode_registers(&bytes));
+        Ok(StateFolder {
+            file_system,
+            folder: folder.to_owned(),
+            folder_handle,
+            token_floor: token_floor.transpose()?,
+            registers: registers.transpose()?,
+        })
     }
 
     /// The stored limit, at least as high as any fencing token granted so far; none if the folder is new or was
@@ -49,7 +77,7 @@
     pub fn store_token(&mut self, fencing_token: u64) -> io::Result<()> {
         if self.token_floor.is_none_or(|token_floor| fencing_token > token_floor) {
             let token_floor = fencing_token + TOKEN_RESERVE;
-            write_atomically(&self.folder, TOKEN_FILE, token_floor.to_string().as_bytes())?;
+            self.replace_file(TOKEN_FILE, token_floor.to_string().as_bytes())?;
             self.token_floor = Some(token_floor);
         }
         Ok(())
@@ -61,48 +89,48 @@
             let payload = postcard::to_allocvec(&state).map_err(io::Error::other)?;
             let mut bytes = blake3::hash(&payload).as_bytes().to_vec();
             bytes.extend(payload);
-            write_atomically(&self.folder, REGISTERS_FILE, &bytes)?;
+            self.replace_file(REGISTERS_FILE, &bytes)?;
             self.registers = Some(state);
         }
         Ok(())
     }
-}
 
-/// Returns none if there is no file yet.
-fn read_token(folder: &Path) -> io::Result<Option<u64>> {
-    match std::fs::read_to_string(folder.join(TOKEN_FILE)) {
-        Ok(text) => text.trim().parse().map(Some).map_err(|_| {
-            io::Error::other("file 'fleet-number' does not contain a whole number (the fencing token limit)")
-        }),
-        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
-        Err(error) => Err(error),
+    /// Replaces a file whole.
+    fn replace_file(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let path = self.folder.join(name);
+        let temporary = path.with_extension(TEMPORARY_EXTENSION);
+        let mut file = self.file_system.create_file(&temporary)?;
+        file.append(bytes)?;
+        file.sync()?;
+        self.file_system.rename(&temporary, &path)?;
+        // Without a sync of the folder, the older file may be back after a power failure.
+        self.file_system.sync_folder(&self.folder_handle)
     }
 }
 
-fn read_registers(folder: &Path) -> io::Result<Option<PersistentState>> {
-    match std::fs::read(folder.join(REGISTERS_FILE)) {
-        Ok(bytes) => match decode(&bytes) {
-            Some(state) => Ok(Some(state)),
-            None => Err(io::Error::other("file 'fleet-registers' is corrupt")),
-        },
+/// Reads a file; none if there is none yet.
+fn read_file<F: FileSystem>(file_system: &F, folder: &Path, name: &str) -> io::Result<Option<Vec<u8>>> {
+    match file_system.open_existing_file(&folder.join(name)) {
+        Ok(mut file) => file.read().map(Some),
         Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
         Err(error) => Err(error),
     }
 }
 
-fn decode(bytes: &[u8]) -> Option<PersistentState> {
-    let (hash, payload) = bytes.split_at_checked(HASH_BYTES)?;
-    (blake3::hash(payload).as_bytes() == hash).then(|| postcard::from_bytes(payload).ok()).flatten()
+fn parse_token(bytes: &[u8]) -> io::Result<u64> {
+    let token = std::str::from_utf8(bytes).ok().and_then(|text| text.trim().parse().ok());
+    token.ok_or_else(|| {
+        io::Error::other("file 'fleet-number' does not contain a whole number (the fencing token limit)")
+    })
 }
 
-fn write_atomically(folder: &Path, name: &str, bytes: &[u8]) -> io::Result<()> {
-    let file = folder.join(name);
-    let new = file.with_extension("new");
-    std::fs::write(&new, bytes)?;
-    std::fs::File::open(&new)?.sync_all()?;
-    std::fs::rename(&new, &file)?;
-    // Without a sync of the folder, the older file may be back after a power failure.
-    std::fs::File::open(folder)?.sync_all()
+fn decode_registers(bytes: &[u8]) -> io::Result<PersistentState> {
+    let corrupt = || io::Error::other("file 'fleet-registers' is corrupt");
+    let (hash, payload) = bytes.split_at_checked(HASH_BYTES).ok_or_else(corrupt)?;
+    if blake3::hash(payload).as_bytes() != hash {
+        return Err(corrupt());
+    }
+    postcard::from_bytes(payload).map_err(|_| corrupt())
 }
 
 #[cfg(test)]
--- a/crates/edges/managed/src/disk.rs
+++ b/crates/edges/managed/src/disk.rs
@@ -13,7 +13,7 @@
 //! While it is unknown what a start finds, nothing is appended: the next record is preceded by a new compaction, which
 //! writes all that has been acknowledged to a new file. If that fails, the record is refused.
 
-use crate::file_system::{FileSystem, LogFile, RealFileSystem};
+use lemonusher_file_system::{FileSystem, RealFileSystem, StoredFile};
 use lemonusher_model::Schema;
 use lemonusher_store::{
     Bounds, HEADER, Record, Recovered, RecoveryError, Store, compact, encode_record, recover,
@@ -198,7 +198,7 @@
 }
 
 /// Truncates a log to its valid part, writes the header if that is empty, and returns the length in bytes.
-fn prepare_to_append(log: &mut impl LogFile, valid_length: u64) -> io::Result<u64> {
+fn prepare_to_append(log: &mut impl StoredFile, valid_length: u64) -> io::Result<u64> {
     log.truncate(valid_length)?;
     let mut length = valid_length;
     if length == 0 {
--- a/crates/edges/managed/src/lib.rs
+++ b/crates/edges/managed/src/lib.rs
@@ -6,7 +6,6 @@
 #![warn(missing_docs)]
 
 mod disk;
-mod file_system;
 pub mod gnmi;
 mod hub;
 pub mod netconf;
@@ -16,7 +15,6 @@
 mod users;
 
 pub use disk::{Disk, DiskError};
-pub use file_system::{FileSystem, LogFile, RealFileSystem};
 pub use hub::{Hub, ManagementEvent};
 pub use lemonusher_desired_state::Names;
 pub use parts::{Part, PartFuture};
--- a/crates/edges/managed/tests/unit/disk_faults.rs
+++ b/crates/edges/managed/tests/unit/disk_faults.rs
@@ -1,11 +1,8 @@
 //! Lets each file operation of a start, of commits and of compactions fail, and kills the process before each. What
 //! was acknowledged is recovered, with at most a commit after it that was not, and commits are accepted again after the fault.
 
-#[path = "faulty_file_system.rs"]
-mod faulty_file_system;
-
 use super::*;
-use faulty_file_system::{Effect, Fault, FaultyFileSystem};
+use lemonusher_fakes::{Effect, Fault, FaultyFileSystem};
 use lemonusher_model::{Node, Op, Tree, parse_path};
 use lemonusher_store::{CommitOptions, Edit, Protocol};
 use std::collections::BTreeMap;
@@ -176,7 +173,7 @@
 fn nothing_is_appended_to_a_log_whose_sync_has_failed() {
     let schema = Arc::new(Schema::front().unwrap());
     let operations = play(&schema, None, None).file_system.operations();
-    let write = operations.iter().rposition(|operation| *operation == "create the next log").unwrap() + 5;
+    let write = operations.iter().rposition(|operation| *operation == "create the file").unwrap() + 5;
     assert_eq!(operations[write..write + 2], ["write", "sync"]);
     let fault = Fault { first: write + 1, count: 1, effect: Effect::None };
     let run = play(&schema, Some(fault), None);
@@ -184,10 +181,10 @@
     let after = [
         "truncate",
         "sync",
-        "create the next log",
+        "create the file",
         "write",
         "sync",
-        "rename the next log",
+        "rename the file",
         "sync the folder",
         "write",
         "sync",
--- a/crates/edges/managed/tests/unit/faulty_file_system.rs
+++ b/crates/testing/fakes/src/file_system.rs
@@ -1,6 +1,6 @@
 //! A file system in memory that fails on demand, and that keeps what is durable apart from what is only written.
 
-use crate::file_system::{FileSystem, LogFile};
+use lemonusher_file_system::{FileSystem, StoredFile};
 use std::collections::BTreeMap;
 use std::fs::TryLockError;
 use std::io;
@@ -21,8 +21,11 @@
 /// A fault: this many operations fail, from the one with this number on, counted from 0.
 #[derive(Debug, Clone, Copy)]
 pub struct Fault {
+    /// Number of the first operation that fails.
     pub first: usize,
+    /// Number of operations that fail.
     pub count: usize,
+    /// What those operations do all the same.
     pub effect: Effect,
 }
 
@@ -44,9 +47,11 @@
     killed_at: Option<usize>,
 }
 
+/// A file system in memory. Its clones share the files.
 #[derive(Debug, Clone, Default)]
 pub struct FaultyFileSystem(Arc<Mutex<World>>);
 
+/// An open file of a [`FaultyFileSystem`].
 #[derive(Debug)]
 pub struct OpenFile {
     file_system: FaultyFileSystem,
@@ -54,6 +59,7 @@
 }
 
 impl FaultyFileSystem {
+    /// Creates an empty file system with at most one fault, whose process is killed before the operation `killed_at`.
     pub fn new(fault: Option<Fault>, killed_at: Option<usize>) -> FaultyFileSystem {
         FaultyFileSystem(Arc::new(Mutex::new(World { fault, killed_at, ..World::default() })))
     }
@@ -67,6 +73,7 @@
         self.world().operations.clone()
     }
 
+    /// Whether the process has been killed.
     pub fn is_killed(&self) -> bool {
         let world = self.world();
         world.killed_at.is_some_and(|at| world.operations.len() > at)
@@ -147,12 +154,19 @@
         self.perform("sync the folder", |world| world.durable_names = world.names.clone())
     }
 
+    fn open_existing_file(&self, path: &Path) -> io::Result<OpenFile> {
+        let mut file = None;
+        self.perform("open the existing file", |world| file = world.names.get(path).copied())?;
+        let file = file.ok_or(io::ErrorKind::NotFound)?;
+        Ok(OpenFile { file_system: self.clone(), file })
+    }
+
     fn open_file(&self, path: &Path) -> io::Result<OpenFile> {
-        self.open("open the log", path, false)
+        self.open("open the file", path, false)
     }
 
     fn create_file(&self, path: &Path) -> io::Result<OpenFile> {
-        self.open("create the next log", path, true)
+        self.open("create the file", path, true)
     }
 
     fn lock_file(&self, path: &Path) -> Result<OpenFile, TryLockError> {
@@ -160,7 +174,7 @@
     }
 
     fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
-        self.perform("rename the next log", |world| {
+        self.perform("rename the file", |world| {
             if let Some(file) = world.names.remove(from) {
                 world.names.insert(to.to_owned(), file);
             }
@@ -169,15 +183,15 @@
 
     fn remove_file(&self, path: &Path) -> io::Result<()> {
         let mut existed = false;
-        self.perform("remove the next log", |world| existed = world.names.remove(path).is_some())?;
+        self.perform("remove the file", |world| existed = world.names.remove(path).is_some())?;
         if existed { Ok(()) } else { Err(io::ErrorKind::NotFound.into()) }
     }
 }
 
-impl LogFile for OpenFile {
+impl StoredFile for OpenFile {
     fn read(&mut self) -> io::Result<Vec<u8>> {
         let mut bytes = Vec::new();
-        self.file_system.perform("read the log", |world| bytes = world.files[self.file].written.clone())?;
+        self.file_system.perform("read the file", |world| bytes = world.files[self.file].written.clone())?;
         Ok(bytes)
     }
 
