Fleet: a start makes durable what it reads from the state folder

What could happen: after a failed sync of the folder, or a kill between a rename and its sync, a new process read the renamed file and took it as stored. It replied with tokens below its limit without a write; after a crash of the machine the old file was back, and the voter had forgotten what it replied.

Evidence: the new test lets each file operation fail (three lengths, three effects), kills before each, and crashes; it failed at a rename whose error came after its effect: a token acknowledged, no limit found.

--- a/crates/edges/fleet/src/state_folder.rs
+++ b/crates/edges/fleet/src/state_folder.rs
@@ -7,7 +7,8 @@
 //! | rename | the old contents or the new ones |
 //! | sync the folder | the new contents |
 //!
-//! A reply is sent only after the last step. After an error the next one writes the file again.
+//! A reply is sent only after the last step. After an error the next one writes the file again. A start makes durable
+//! what it has read, since it writes nothing that is stored already.
 //!
 //! `fleet-number` contains the limit as decimal text. `fleet-registers` contains a BLAKE3 hash (32 bytes),
 //! followed by the hashed bytes, which are the postcard encoding of [`PersistentState`].
@@ -52,6 +53,8 @@
         let token_floor = read_file(&file_system, folder, TOKEN_FILE)?.map(|bytes| parse_token(&bytes));
         let registers =
             read_file(&file_system, folder, REGISTERS_FILE)?.map(|bytes| decode_registers(&bytes));
+        // An earlier process may have ended between a rename and its sync. What has been read is then not durable yet.
+        file_system.sync_folder(&folder_handle)?;
         Ok(StateFolder {
             file_system,
             folder: folder.to_owned(),
@@ -136,3 +139,7 @@
 #[cfg(test)]
 #[path = "../tests/unit/state_folder.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "../tests/unit/state_folder_faults.rs"]
+mod fault_tests;
