Fleet: a voter forgets what it could not store, and answers the rest

After a failed write the voter in memory kept the change and every later request was compared with it: nothing was replied any more, renewals and reads included, and other fronts waited for a grant that nobody had. Now the voter, or the registers, are as before the request; nothing was replied, so nobody relies on the change.

Two tests on a node whose state folder vanishes: both got no reply on the text before.

--- a/crates/edges/fleet/src/node/handle.rs
+++ b/crates/edges/fleet/src/node/handle.rs
@@ -50,11 +50,14 @@
 
     fn handle_lease_request(&mut self, now: Duration, from: SocketAddr, request: LeaseRequest) {
         let Some(voter) = &mut self.voter else { return };
+        let before = voter.clone();
         let Some(reply) = voter.handle_request(now, &self.config.leases, request) else { return };
-        // A token must be stored before a reply lets any front act under it.
+        // A token must be stored before a reply lets any front act under it. What was not replied is forgotten, so
+        // that requests which need no write are still answered, and no other front waits for a grant that nobody has.
         if let Some(state_folder) = &mut self.state_folder
             && let Err(error) = state_folder.store_token(voter.highest_token())
         {
+            *voter = before;
             return tracing::error!("fleet: can't store the fencing token, so no reply is sent: {error}");
         }
         self.send(Body::LeaseReply(reply), from);
@@ -70,10 +73,16 @@
 
     fn handle_register_request(&mut self, now: Duration, from: SocketAddr, request: RegisterRequest) {
         let Some(acceptor) = &mut self.acceptor else { return };
+        let before = acceptor.clone();
         let Some(reply) = acceptor.handle_request(now, request) else { return };
-        if self.store_registers() {
-            self.send(Body::RegisterReply(reply), from);
+        // As with tokens, what could not be stored is forgotten.
+        if let Some(state_folder) = &mut self.state_folder
+            && let Err(error) = state_folder.store_registers(acceptor.persistent_state())
+        {
+            *acceptor = before;
+            return tracing::error!("fleet: can't store the registers, so no reply is sent: {error}");
         }
+        self.send(Body::RegisterReply(reply), from);
     }
 
     /// Passes a reply to the acceptor's recovery, the learner and the proposer; each ignores replies to the
@@ -109,18 +118,4 @@
             }
         }
     }
-
-    /// Stores the acceptor's state. Returns false if that fails; then no reply may be sent.
-    fn store_registers(&mut self) -> bool {
-        let (Some(state_folder), Some(acceptor)) = (&mut self.state_folder, &self.acceptor) else {
-            return true;
-        };
-        match state_folder.store_registers(acceptor.persistent_state()) {
-            Ok(()) => true,
-            Err(error) => {
-                tracing::error!("fleet: can't store the registers, so no reply is sent: {error}");
-                false
-            }
-        }
-    }
 }
--- a/crates/edges/fleet/tests/nodes.rs
+++ b/crates/edges/fleet/tests/nodes.rs
@@ -5,10 +5,11 @@
 use lemonusher_fleet::*;
 use lemonusher_leases::{Ballot, Incarnation, LeaseConfig, LeaseReply, LeaseRequest};
 use lemonusher_maintenance::{MaintenanceRequest, Phase};
-use lemonusher_registers::{self as registers, Entry, EntryVersion};
+use lemonusher_registers::{self as registers, Entry, EntryVersion, PersistentState};
 use lemonusher_zone_failover as zones;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -309,18 +310,88 @@
 }
 
 fn replies_of(voter: &mut Node, messages: &[Vec<u8>]) -> Vec<LeaseReply> {
+    let replies = bodies_of(voter, messages).into_iter().filter_map(|body| match body {
+        Body::LeaseReply(reply) => Some(reply),
+        _ => None,
+    });
+    replies.collect()
+}
+
+fn bodies_of(voter: &mut Node, messages: &[Vec<u8>]) -> Vec<Body> {
     let now = SILENT_TIME;
     voter.poll(now);
     voter.take_outgoing();
     let client_address = address(9);
     messages.iter().for_each(|bytes| voter.handle_datagram(now, client_address, bytes));
     let sent = voter.take_outgoing().into_iter().filter(|message| message.datagram.to == client_address);
-    let bodies = sent.filter_map(|message| Frame::open(&message.datagram.bytes, &key()).ok());
-    let replies = bodies.filter_map(|frame| match frame.body {
-        Body::LeaseReply(reply) => Some(reply),
-        _ => None,
-    });
-    replies.collect()
+    sent.filter_map(|message| Frame::open(&message.datagram.bytes, &key()).ok())
+        .map(|frame| frame.body)
+        .collect()
+}
+
+/// A voter with a state folder that is no longer silent, and the folder.
+fn voter_with_state_folder() -> (Node, PathBuf) {
+    let folder = lemonusher_fakes::temp_path("state");
+    let mut state_folder = StateFolder::open(&folder).unwrap();
+    // With stored registers it votes from its start on.
+    state_folder.store_registers(PersistentState { epoch: 1, registers: Vec::new() }).unwrap();
+    let start_parameters = StartParameters { address: address(0), incarnation: 1, unix_time_ms: 1, seed: 1 };
+    let counters = Arc::new(TrafficCounters::default());
+    (Node::new(config(0), start_parameters, Some(state_folder), counters), folder)
+}
+
+fn accept_task(task: &str, round: u64, fencing_token: u64) -> Body {
+    let client = Incarnation { name: "speaker".to_owned(), id: 5 };
+    let ballot = Ballot { round, proposer: 5 };
+    Body::LeaseRequest(LeaseRequest::Accept { task: task.to_owned(), ballot, client, fencing_token })
+}
+
+/// Guards against a voter that answers nothing any more, because it keeps a grant whose token it could not store: it
+/// goes on to renew what it has granted, and grants again once it can store.
+#[test]
+fn voter_whose_write_failed_still_renews_leases_and_forgets_the_failed_grant() {
+    const UNSTORED_TOKEN: u64 = 1_000_000;
+    let (mut voter, folder) = voter_with_state_folder();
+    assert_eq!(replies_of(&mut voter, &[sealed(1, accept_task("account", 1, 5))]).len(), 1);
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert_eq!(replies_of(&mut voter, &[sealed(2, accept_task("sites", 2, UNSTORED_TOKEN))]), []);
+    let renewed = replies_of(&mut voter, &[sealed(3, accept_task("account", 3, 5))]);
+    assert!(matches!(renewed[..], [LeaseReply::Accepted { .. }]), "{renewed:?}");
+    // Another front asks for the task of the failed grant, under a token that needs no write.
+    let other = Incarnation { name: "other".to_owned(), id: 6 };
+    let ballot = Ballot { round: 4, proposer: 6 };
+    let prepare = LeaseRequest::Prepare { task: "sites".to_owned(), ballot, client: other };
+    let promise = replies_of(&mut voter, &[sealed(4, Body::LeaseRequest(prepare))]);
+    assert!(matches!(promise[..], [LeaseReply::Promise { .. }]), "{promise:?}");
+    std::fs::create_dir_all(&folder).unwrap();
+    let stored = replies_of(&mut voter, &[sealed(5, accept_task("works", 5, UNSTORED_TOKEN))]);
+    assert!(matches!(stored[..], [LeaseReply::Accepted { .. }]), "{stored:?}");
+    assert!(StateFolder::open(&folder).unwrap().token_floor() >= Some(UNSTORED_TOKEN));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
+/// The same for registers: reads of what has been stored are still answered, and show nothing that was not.
+#[test]
+fn voter_whose_write_failed_still_answers_reads_of_stored_registers() {
+    const REGISTER: &str = "works.0";
+    let (mut voter, folder) = voter_with_state_folder();
+    let accept = |counter: u64| {
+        let version = EntryVersion { epoch: u64::MAX - 1, counter };
+        let entry = Entry { version, fencing_token: 1, value: vec![counter as u8] };
+        let ballot = Ballot { round: counter << 40, proposer: 5 };
+        let request = registers::RegisterRequest::Accept { name: REGISTER.to_owned(), ballot, entry };
+        sealed(counter, Body::RegisterRequest(request))
+    };
+    let accepted = bodies_of(&mut voter, &[accept(1)]);
+    assert!(matches!(accepted[..], [Body::RegisterReply(registers::RegisterReply::Accepted { .. })]));
+    std::fs::remove_dir_all(&folder).unwrap();
+    assert_eq!(bodies_of(&mut voter, &[accept(2)]).len(), 0);
+    let read = registers::RegisterRequest::Read { name: REGISTER.to_owned(), known: None };
+    let shown = bodies_of(&mut voter, &[sealed(3, Body::RegisterRequest(read))]);
+    let [Body::RegisterReply(registers::RegisterReply::Value { entry, .. })] = &shown[..] else {
+        panic!("{} replies", shown.len());
+    };
+    assert_eq!(entry.as_ref().map(|entry| entry.value.clone()), Some(vec![1]));
 }
 
 #[test]
