Watch: a notification is found in one pass over both states

Both states are in the order of their places, so one pass finds updates and deletes, and the map is built in bulk.

--- a/crates/core/watch/src/leaves.rs
+++ b/crates/core/watch/src/leaves.rs
@@ -18,17 +18,21 @@
 
 /// All leaves and leaf-lists at or below the places that the patterns select.
 pub fn leaves(tree: &Tree, patterns: &[Pattern]) -> Leaves {
-    let mut found = Leaves::new();
+    let mut found = Vec::new();
     for pattern in patterns {
         tree.select(pattern, &mut |place, at| collect(place.to_vec(), at, &mut found));
     }
-    found
+    // A map is built faster from all leaves, which are almost in order, than by single insertions.
+    found.into_iter().collect()
 }
 
-fn collect(mut place: Place, at: NodeRef<'_>, found: &mut Leaves) {
+/// Leaves in the order in which they were found.
+type FoundLeaves = Vec<(Place, Value)>;
+
+fn collect(mut place: Place, at: NodeRef<'_>, found: &mut FoundLeaves) {
     match at {
-        NodeRef::Leaf(value) => drop(found.insert(place, Value::Leaf(value.clone()))),
-        NodeRef::LeafList(values) => drop(found.insert(place, Value::LeafList(values.clone()))),
+        NodeRef::Leaf(value) => found.push((place, Value::Leaf(value.clone()))),
+        NodeRef::LeafList(values) => found.push((place, Value::LeafList(values.clone()))),
         NodeRef::Fields(fields) => collect_fields(fields, &mut place, found),
         NodeRef::List(entries) => {
             entries.iter().for_each(|(keys, entry)| collect_entry(keys, entry, &mut place, found));
@@ -36,12 +40,12 @@
     }
 }
 
-fn collect_fields(fields: &BTreeMap<NodeId, Node>, place: &mut Place, found: &mut Leaves) {
+fn collect_fields(fields: &BTreeMap<NodeId, Node>, place: &mut Place, found: &mut FoundLeaves) {
     for (id, node) in fields {
         place.push(Segment { node: *id, keys: None });
         match node {
-            Node::Leaf(value) => drop(found.insert(place.clone(), Value::Leaf(value.clone()))),
-            Node::LeafList(values) => drop(found.insert(place.clone(), Value::LeafList(values.clone()))),
+            Node::Leaf(value) => found.push((place.clone(), Value::Leaf(value.clone()))),
+            Node::LeafList(values) => found.push((place.clone(), Value::LeafList(values.clone()))),
             Node::Container(inner) => collect_fields(inner, place, found),
             Node::List(entries) => {
                 entries.iter().for_each(|(keys, entry)| collect_entry(keys, entry, place, found));
@@ -52,7 +56,7 @@
 }
 
 /// Collects the leaves of one list entry. The last segment of `place` is the list, without keys.
-fn collect_entry(keys: &[Text], entry: &BTreeMap<NodeId, Node>, place: &mut Place, found: &mut Leaves) {
+fn collect_entry(keys: &[Text], entry: &BTreeMap<NodeId, Node>, place: &mut Place, found: &mut FoundLeaves) {
     let Some(last) = place.last_mut() else { return };
     last.keys = Some(keys.to_vec());
     collect_fields(entry, place, found);
--- a/crates/core/watch/src/subscription.rs
+++ b/crates/core/watch/src/subscription.rs
@@ -58,14 +58,38 @@
         self.updates.len() + self.deletes.len()
     }
 
-    /// The updates and deletes that turn the state `old` into the state `new`.
-    pub(crate) fn between(old: &Leaves, new: &Leaves) -> Notification {
-        let changed = new.iter().filter(|(place, value)| old.get(*place) != Some(value));
-        let deleted = old.keys().filter(|place| !new.contains_key(*place));
-        Notification { updates: changed.map(Update::of).collect(), deletes: deleted.cloned().collect() }
+    /// The deletes and the included updates that turn the state `old` into the state `new`.
+    pub(crate) fn between(old: &Leaves, new: &Leaves, included: IncludedUpdates) -> Notification {
+        let mut notification = Notification::default();
+        let mut old = old.iter().peekable();
+        for (place, value) in new {
+            let mut is_changed = true;
+            // Both states are in the order of their places, so one pass over both finds what differs.
+            while let Some((old_place, old_value)) = old.next_if(|(old_place, _)| *old_place <= place) {
+                if old_place == place {
+                    is_changed = old_value != value;
+                    break;
+                }
+                notification.deletes.push(old_place.clone());
+            }
+            if is_changed || included == IncludedUpdates::All {
+                notification.updates.push(Update::of((place, value)));
+            }
+        }
+        notification.deletes.extend(old.map(|(place, _)| place.clone()));
+        notification
     }
 }
 
+/// Which leaves of a new state a notification updates.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum IncludedUpdates {
+    /// Those that differ from the old state.
+    Changed,
+    /// All of them.
+    All,
+}
+
 impl Update {
     pub(crate) fn of((place, value): (&Place, &Value)) -> Update {
         Update { place: place.clone(), value: value.clone() }
--- a/crates/core/watch/src/watch.rs
+++ b/crates/core/watch/src/watch.rs
@@ -1,5 +1,6 @@
 //! All subscriptions of one subscriber, by the rules in the documentation of this package.
 
+use crate::subscription::IncludedUpdates;
 use crate::{Leaves, Notification, Subscription, SubscriptionMode, Update, leaves};
 use lemonusher_model::Tree;
 use std::collections::BTreeSet;
@@ -125,14 +126,12 @@
         }
         self.set_next_due_times(now);
         let current = leaves(tree, &self.subscription.patterns);
-        let mut notification = Notification::between(&self.sent, &current);
         let send_all = match self.subscription.mode {
             SubscriptionMode::Sample { suppress_redundant, .. } => heartbeat_due || !suppress_redundant,
             SubscriptionMode::OnChange => heartbeat_due,
         };
-        if send_all {
-            notification.updates = current.iter().map(Update::of).collect();
-        }
+        let included = if send_all { IncludedUpdates::All } else { IncludedUpdates::Changed };
+        let notification = Notification::between(&self.sent, &current, included);
         Some((current, notification))
     }
 
@@ -157,7 +156,7 @@
             return notification.len() as u64;
         }
         let counted = self.missed.as_ref().unwrap_or(&self.sent);
-        let lost = Notification::between(counted, &current).len() as u64;
+        let lost = Notification::between(counted, &current, IncludedUpdates::Changed).len() as u64;
         self.missed = Some(current).filter(|current| *current != self.sent);
         lost
     }
