Zone failover: a confirmation of no plan, which nobody called, is removed

PlanFollower::handle_no_plan had no caller; it would have kept a front from counting as isolated while no plan was ever committed. Looked at and struck off as no fault: without a plan nobody has decided by the observations of all fronts, so going by its own after the plan timeout is what a front is to do, and the coordinator commits a first plan as soon as it holds its lease. The comment at confirmed_at says so.

--- a/crates/core/zone-failover/src/follower.rs
+++ b/crates/core/zone-failover/src/follower.rs
@@ -68,8 +68,9 @@
     /// The version of the plan followed; none before the first plan.
     version: Option<EntryVersion>,
     plan: FailoverPlan,
-    /// The time at which a majority of the voters last confirmed the plan followed, or that no plan was
-    /// ever committed; before that, the time of creation.
+    /// The time at which a majority of the voters last confirmed the plan followed; before the first plan, the time of
+    /// creation. A front without a plan is isolated after the plan timeout, and goes by its own observations: without a
+    /// plan nobody has decided by those of all fronts.
     confirmed_at: Duration,
     /// The time since which this front's own observations show a zone as unreachable, by zone.
     unreachable_since: [Option<Duration>; MAX_ZONES],
@@ -113,13 +114,6 @@
         }
     }
 
-    /// Handles the confirmation by a majority of the voters that no plan was ever committed.
-    pub fn handle_no_plan(&mut self, now: Duration) {
-        if self.version.is_none() {
-            self.confirmed_at = self.confirmed_at.max(now);
-        }
-    }
-
     /// Whether this front has not confirmed the plan for the plan timeout.
     pub fn is_isolated(&self, now: Duration, config: &FailoverConfig) -> bool {
         now > self.confirmed_at + config.plan_timeout
