--- a/crates/core/external-call/src/calls.rs
+++ b/crates/core/external-call/src/calls.rs
@@ -14,7 +14,7 @@
 
 /// All calls of one processor. Each handler takes an event and returns the actions to execute. Times are
 /// `Duration`s since one origin and never decrease.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ExternalCalls {
     config: CallConfig,
     calls: BTreeMap<RequestId, Call>,
--- a/crates/core/external-call/src/config.rs
+++ b/crates/core/external-call/src/config.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 /// The settings of the proxies that matter to their calls, and the limits of this processor.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct CallConfig {
     /// The proxies' `message_timeout`: how long a proxy waits for the response to a message.
     pub message_timeout: Duration,
--- a/crates/core/external-call/src/earlier_attempts.rs
+++ b/crates/core/external-call/src/earlier_attempts.rs
@@ -7,7 +7,7 @@
 use crate::messages::{AttemptToken, CallRequest, TokenEvidence};
 
 /// The attempts of a request that this processor has seen, by what identifies the proxy's next retry.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) struct SeenAttempts {
     /// The proxy's attempt count of the last one.
     last_count: u32,
--- a/crates/core/external-call/src/finished.rs
+++ b/crates/core/external-call/src/finished.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 /// Whether the request of a finished call may have run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) enum FinishedOutcome {
     /// None of these attempts ran. Nothing is known of any other. Without them, only a new request of a client that
     /// was invited to retry is known to be safe.
@@ -32,21 +32,21 @@
     MayHaveRun,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct FinishedCall {
     outcome: FinishedOutcome,
     finished_at: Duration,
     expires_at: Duration,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Expiry {
     expires_at: Duration,
     request: RequestId,
 }
 
 /// Finished calls, limited in number and age.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct FinishedCalls {
     retention: Duration,
     /// How long after a call a message without a continuation token can be the proxy's retry.
--- a/crates/core/external-call/src/messages.rs
+++ b/crates/core/external-call/src/messages.rs
@@ -9,7 +9,7 @@
 pub type AttemptToken = u64;
 
 /// What the continuation token of a request shows about an earlier attempt.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
 pub enum TokenEvidence {
     /// The request has no token.
     #[default]
@@ -22,7 +22,7 @@
 }
 
 /// A proxy's call about a request: the first message of a stream.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct CallRequest {
     /// The stream of the call, on which the response is sent.
     pub stream: StreamId,
@@ -45,7 +45,7 @@
 }
 
 /// An attempt that the request router grants to a request.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct GrantedAttempt {
     /// Its number.
     pub token: AttemptToken,
@@ -66,7 +66,7 @@
 }
 
 /// A response to the proxy: what it is to do with the request.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum CallResponse {
     /// Forward the request to an engine.
     Forward {
--- a/crates/core/external-call/src/round_trip.rs
+++ b/crates/core/external-call/src/round_trip.rs
@@ -24,7 +24,7 @@
 const WINDOW: Duration = Duration::from_secs(10);
 
 /// The longest round trip of the current and the previous window.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 struct WindowedMaximum {
     window_start: Duration,
     current: Duration,
@@ -46,11 +46,11 @@
 }
 
 /// Mean, deviation and recent maximum of the round-trip time to the proxies.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
 pub(crate) struct RoundTripEstimate {
     samples: u32,
-    mean_seconds: f64,
-    deviation_seconds: f64,
+    mean: Duration,
+    deviation: Duration,
     longest: WindowedMaximum,
 }
 
@@ -58,24 +58,26 @@
     pub(crate) fn record(&mut self, now: Duration, round_trip: Duration) {
         self.samples = self.samples.saturating_add(1);
         self.longest.record(now, round_trip);
-        let round_trip = round_trip.as_secs_f64();
         if self.samples == 1 {
-            self.mean_seconds = round_trip;
+            self.mean = round_trip;
             return;
         }
-        let deviation = (round_trip - self.mean_seconds).abs();
-        self.deviation_seconds += NEW_SAMPLE_WEIGHT * (deviation - self.deviation_seconds);
-        self.mean_seconds += NEW_SAMPLE_WEIGHT * (round_trip - self.mean_seconds);
+        self.deviation = weighted_mean(self.deviation, round_trip.abs_diff(self.mean));
+        self.mean = weighted_mean(self.mean, round_trip);
     }
 
     pub(crate) fn margin(&self, message_timeout: Duration) -> Duration {
-        let timeout = message_timeout.as_secs_f64();
-        let largest = timeout * MAX_MARGIN_SHARE;
+        let largest = message_timeout.mul_f64(MAX_MARGIN_SHARE);
         if self.samples < MIN_SAMPLES {
-            return Duration::from_secs_f64(largest);
+            return largest;
         }
-        let usual = self.mean_seconds + 4.0 * self.deviation_seconds;
-        let needed = usual.max(LONGEST_FACTOR * self.longest.get().as_secs_f64());
-        Duration::from_secs_f64(needed.clamp(timeout * MIN_MARGIN_SHARE, largest))
+        let usual = self.mean + self.deviation * 4;
+        let needed = usual.max(self.longest.get().mul_f64(LONGEST_FACTOR));
+        needed.clamp(message_timeout.mul_f64(MIN_MARGIN_SHARE), largest)
     }
 }
+
+/// The exponentially weighted mean after a new sample.
+fn weighted_mean(mean: Duration, sample: Duration) -> Duration {
+    mean.mul_f64(1.0 - NEW_SAMPLE_WEIGHT) + sample.mul_f64(NEW_SAMPLE_WEIGHT)
+}
--- a/crates/core/external-call/src/state.rs
+++ b/crates/core/external-call/src/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 /// Until when a response to a proxy is of use.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) struct ResponseDeadline {
     /// Latest time to send the response.
     pub respond_by: Duration,
@@ -14,7 +14,7 @@
     pub proxy_timeout: Duration,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(crate) enum CallState {
     /// The proxy waits for a response from this processor.
     AwaitingResponse {
@@ -37,7 +37,7 @@
 }
 
 /// A call that is not finished.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Call {
     pub state: CallState,
     pub idempotency: Idempotency,
@@ -54,7 +54,7 @@
 
 /// The timeout of a call's state. A call in `AwaitingResponse` or `AwaitingRetry` has exactly one; a call in
 /// another state has none.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Timeout {
     pub at: Duration,
     pub request: RequestId,
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -84,7 +84,7 @@
 }
 
 /// Whether a request may run more than once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
 pub enum Idempotency {
     /// It may run any number of times.
     #[default]
@@ -102,7 +102,7 @@
 }
 
 /// The engines among which repeats of an idempotency key are dropped.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum DeduplicationScope {
     /// All engines.
     Everywhere,
--- a/src/event.rs
+++ b/src/event.rs
@@ -42,7 +42,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum AttemptOutcome {
     /// The engine returned a response.
     Returned,
