Fleet: a share of the slow start's quota ends with its lease

What could happen: after a stand-still longer than its leases, a front's router decided by its old share of the quota before the fleet's thread had told it otherwise, while another front held that share: cold engines got more than all fronts together may send.

The fleet tells the share with the end of the first of its leases, and again with each renewal; the router ends it by itself before a decision.

--- a/crates/edges/fleet/src/lib.rs
+++ b/crates/edges/fleet/src/lib.rs
@@ -31,7 +31,7 @@
 pub use maintenance::{
     LEASE as MAINTENANCE_LEASE, MaintenanceSettings, register_name as maintenance_register,
 };
-pub use node::{ClusterStats, Datagram, Message, Node, StartParameters};
+pub use node::{ClusterStats, Datagram, LeasedShare, Message, Node, StartParameters};
 pub use replay_window::ReplayWindow;
 pub use state_folder::StateFolder;
 pub use thread::{FleetHandle, start};
--- a/crates/edges/fleet/src/node/mod.rs
+++ b/crates/edges/fleet/src/node/mod.rs
@@ -76,8 +76,10 @@
     voter: Option<Voter>,
     lease_client: LeaseClient,
     quota_slots: Option<QuotaSlots>,
-    /// The share of the quota that was last sent to the router, from 0 to 1.
-    quota: f64,
+    /// The share of the quota that this front holds.
+    quota: LeasedShare,
+    /// Whether `quota` has changed since it was last taken.
+    quota_changed: bool,
     /// None at a front that is not a voter.
     acceptor: Option<Acceptor>,
     /// The state of the acceptor that was last logged.
@@ -124,7 +126,8 @@
             voter: config.is_voter.then(|| Voter::new(Duration::ZERO, &leases, token_floor)),
             lease_client: LeaseClient::new(incarnation.clone(), voters),
             quota_slots: new_quota_slots(&config),
-            quota: 0.0,
+            quota: LeasedShare::default(),
+            quota_changed: false,
             acceptor: new_acceptor(&config, &start, state_folder.as_ref()),
             acceptor_state: None,
             proposer: Proposer::new(incarnation, voters),
@@ -147,9 +150,7 @@
 
     /// Begins to acquire the configured leases, to watch the registers and to discover the other members.
     fn begin(&mut self) {
-        if self.quota_slots.is_some() {
-            self.update_router(ControlUpdate::SlowStartQuota(0.0));
-        }
+        self.quota_changed = self.quota_slots.is_some();
         for task in &self.config.tasks {
             self.lease_client.acquire(Duration::ZERO, &task.name, task.fenced);
         }
@@ -219,7 +220,12 @@
         sent.map(|notification| notification.datagram).collect()
     }
 
-    /// Takes the updates for this front's router that were queued since the last call, in order.
+    /// Takes this front's share of the quota if it has changed since the last call, its leases' ends included.
+    pub fn take_quota(&mut self) -> Option<LeasedShare> {
+        std::mem::take(&mut self.quota_changed).then_some(self.quota)
+    }
+
+    /// Takes the other updates for this front's router that were queued since the last call, in order.
     pub fn take_control_updates(&mut self) -> Vec<ControlUpdate> {
         std::mem::take(&mut self.control_updates)
     }
@@ -261,14 +267,17 @@
     fn poll_quota_slots(&mut self, now: Duration) {
         let Some(mut quota_slots) = self.quota_slots.take() else { return };
         let messages = quota_slots.poll(now, &self.config.leases, &mut self.lease_client);
-        let held = quota_slots.held(now, &self.lease_client).len();
-        let quota = quota_share(held, self.config.quota_slots);
+        let held = quota_slots.held(now, &self.lease_client);
+        let leases =
+            held.iter().filter_map(|slot| self.lease_client.active_lease(now, &QuotaSlots::task_name(*slot)));
+        let quota = LeasedShare {
+            share: quota_share(held.len(), self.config.quota_slots),
+            valid_until: leases.map(|lease| lease.until).min(),
+        };
         self.quota_slots = Some(quota_slots);
         self.send_lease_requests(messages);
-        if quota != self.quota {
-            self.quota = quota;
-            self.update_router(ControlUpdate::SlowStartQuota(quota));
-        }
+        self.quota_changed |= quota != self.quota;
+        self.quota = quota;
     }
 
     fn update_router(&mut self, update: ControlUpdate) {
@@ -276,6 +285,15 @@
     }
 }
 
+/// A share of the quota, by the leases of its slots.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct LeasedShare {
+    /// The share, from 0 to 1.
+    pub share: f64,
+    /// When the first of the leases ends, by the node's clock; none without a lease.
+    pub valid_until: Option<Duration>,
+}
+
 fn new_quota_slots(config: &FleetConfig) -> Option<QuotaSlots> {
     let has_quota = config.quota_slots > 0;
     has_quota.then(|| QuotaSlots::new(config.quota_slots, config.wanted_slots, config.first_slot))
--- a/crates/edges/fleet/src/thread.rs
+++ b/crates/edges/fleet/src/thread.rs
@@ -8,7 +8,7 @@
 use crate::pending_updates::PendingUpdates;
 use crate::state_folder::StateFolder;
 use async_channel::{Receiver, Sender};
-use lemonusher_routing::ControlUpdate;
+use lemonusher_routing::{ControlUpdate, QuotaShare};
 use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -122,6 +122,11 @@
         self.clock.elapsed().mul_f64(self.clock_rate)
     }
 
+    /// The instant of a time of the node's clock.
+    fn instant(&self, time: Duration) -> Instant {
+        self.clock + time.div_f64(self.clock_rate)
+    }
+
     fn run_once(&mut self) {
         let now = self.now();
         self.node.poll(now);
@@ -171,6 +176,11 @@
         for Datagram { to, bytes } in self.node.take_actions(self.now()) {
             let _ = self.actions.send_to(&bytes, to);
         }
+        if let Some(quota) = self.node.take_quota() {
+            let valid_until = quota.valid_until.map(|until| self.instant(until));
+            let quota = QuotaShare { share: quota.share, valid_until };
+            self.pending_updates.add(ControlUpdate::SlowStartQuota(quota));
+        }
         for update in self.node.take_control_updates() {
             self.pending_updates.add(update);
         }
--- a/crates/edges/fleet/tests/nodes.rs
+++ b/crates/edges/fleet/tests/nodes.rs
@@ -437,3 +437,32 @@
     std::fs::remove_dir_all(&folder).unwrap();
     assert!(after_loss > after_restart, "{after_loss}, {after_restart}");
 }
+
+/// The share of the quota has an end, which each renewal of its leases moves on.
+#[test]
+fn share_of_the_quota_ends_with_its_leases() {
+    let quota_config = |index| FleetConfig { quota_slots: 2, wanted_slots: 1, ..config(index) };
+    let mut fleet = ReversedNetwork::new(VOTERS);
+    for index in 0..VOTERS {
+        let start_parameters =
+            StartParameters { address: address(index), incarnation: 9, unix_time_ms: 1, seed: index as u64 };
+        let counters = Arc::new(TrafficCounters::default());
+        fleet.nodes[index] = Node::new(quota_config(index), start_parameters, None, counters);
+        assert_eq!(fleet.nodes[index].take_quota(), Some(LeasedShare::default()));
+    }
+    fleet.run_for(SILENT_TIME);
+    let shares: Vec<Option<LeasedShare>> = fleet.nodes.iter_mut().map(Node::take_quota).collect();
+    let holder = shares.iter().position(|quota| quota.is_some_and(|quota| quota.share == 0.5)).unwrap();
+    let first = shares[holder].unwrap().valid_until.unwrap();
+    assert!(first > fleet.now && first <= fleet.now + LEASE, "{first:?} at {:?}", fleet.now);
+    fleet.run_for(LEASE);
+    let renewed = fleet.nodes[holder].take_quota().unwrap();
+    assert!(renewed.share == 0.5 && renewed.valid_until.unwrap() > first, "{renewed:?}");
+    // Alone, it loses the slot at the stated time.
+    let valid_until = renewed.valid_until.unwrap();
+    fleet.stopped = (0..VOTERS).filter(|index| *index != holder).collect();
+    while fleet.now < valid_until {
+        fleet.step();
+    }
+    assert_eq!(fleet.nodes[holder].take_quota(), Some(LeasedShare::default()));
+}
--- a/crates/edges/fleet/tests/unit/pending_updates.rs
+++ b/crates/edges/fleet/tests/unit/pending_updates.rs
@@ -1,10 +1,11 @@
 //! Tests that a router which reads slowly misses no kind of update.
 
 use super::*;
+use lemonusher_routing::QuotaShare;
 use std::sync::Arc;
 
 fn quota(share: u32) -> ControlUpdate {
-    ControlUpdate::SlowStartQuota(f64::from(share))
+    ControlUpdate::SlowStartQuota(QuotaShare { share: f64::from(share), valid_until: None })
 }
 
 fn maintenance(version: u64) -> ControlUpdate {
--- a/crates/edges/front/src/program/control_channels.rs
+++ b/crates/edges/front/src/program/control_channels.rs
@@ -5,7 +5,8 @@
 use super::shared::Shared;
 use lemonusher_membership::DesiredState;
 use lemonusher_routing::{
-    ControlUpdate, EngineNotification, ManagementCall, RequestRouter, RouterEvent, ZoneObservation,
+    ControlUpdate, EngineNotification, ManagementCall, QuotaShare, RequestRouter, RouterEvent,
+    ZoneObservation,
 };
 use lemonusher_zone_failover::FailoverConfig;
 use std::sync::Arc;
@@ -56,7 +57,8 @@
     /// set the quota to zero if the fronts share it, and take every engine out of service if there is maintenance.
     pub(super) fn attach(self, mut router: RequestRouter, shared: &Shared) -> RequestRouter {
         if self.shares_quota {
-            let _ = shared.events.try_send(RouterEvent::Control(ControlUpdate::SlowStartQuota(0.0)));
+            let _ =
+                shared.events.try_send(RouterEvent::Control(ControlUpdate::SlowStartQuota(QuotaShare::NONE)));
         }
         if self.maintenance {
             let closed = Arc::default();
--- a/crates/edges/routing/src/lib.rs
+++ b/crates/edges/routing/src/lib.rs
@@ -19,8 +19,8 @@
 pub use counters::{Counter, CounterValue, Counters, OutcomeLabel, TableSizes};
 pub use management::{EngineNotification, EngineStatus, ManagementCall, ManagementError, Snapshot};
 pub use messages::{
-    ControlUpdate, Endpoint, EngineCommand, IncomingRequest, Response, ResponseSink, RouterEvent, Token,
-    WriteConditions,
+    ControlUpdate, Endpoint, EngineCommand, IncomingRequest, QuotaShare, Response, ResponseSink, RouterEvent,
+    Token, WriteConditions,
 };
 pub use router::{Limits, RequestRouter};
 pub use zone_monitor::{ZoneObservation, class_loads};
--- a/crates/edges/routing/src/messages.rs
+++ b/crates/edges/routing/src/messages.rs
@@ -147,9 +147,8 @@
 /// An update from the fleet of fronts to this front. Not used by a front that runs alone.
 #[derive(Debug, Clone, PartialEq)]
 pub enum ControlUpdate {
-    /// This front's share, from 0 to 1, of the requests that all fronts together may send to an engine in
-    /// slow start.
-    SlowStartQuota(f64),
+    /// This front's share of the requests that all fronts together may send to an engine in slow start.
+    SlowStartQuota(QuotaShare),
     /// The part of the zone failover plan that applies to this front from now on.
     ZonePlan(Arc<PlanEffect>),
     /// The set of engines that are out of service for maintenance.
@@ -163,6 +162,20 @@
     },
 }
 
+/// A share of a quota of all fronts. It is leased: once it has expired, other fronts may use it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaShare {
+    /// The share, from 0 to 1.
+    pub share: f64,
+    /// From then on the share is zero; none if it does not expire.
+    pub valid_until: Option<Instant>,
+}
+
+impl QuotaShare {
+    /// No share at all.
+    pub const NONE: QuotaShare = QuotaShare { share: 0.0, valid_until: None };
+}
+
 /// A command from the router to the engine driver.
 #[derive(Debug, Clone)]
 pub enum EngineCommand {
--- a/crates/edges/routing/src/router/event_loop.rs
+++ b/crates/edges/routing/src/router/event_loop.rs
@@ -5,7 +5,7 @@
 
 use super::RequestRouter;
 use crate::counters::TableSizes;
-use crate::messages::{ControlUpdate, EngineCommand, RouterEvent};
+use crate::messages::{ControlUpdate, EngineCommand, QuotaShare, RouterEvent};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -127,8 +127,9 @@
                 self.handle_probe_ended(now, token, answered, load);
             }
             RouterEvent::Management(call) => self.handle_management(now, call),
-            RouterEvent::Control(ControlUpdate::SlowStartQuota(share)) => {
-                self.gateway.handle_event(now, Event::SlowStartQuota(share));
+            RouterEvent::Control(ControlUpdate::SlowStartQuota(quota)) => {
+                self.quota_valid_until = quota.valid_until;
+                self.gateway.handle_event(now, Event::SlowStartQuota(quota.share));
             }
             RouterEvent::Control(ControlUpdate::ZonePlan(effect)) => self.handle_zone_plan(now, &effect),
             RouterEvent::Control(ControlUpdate::Maintenance { version, complete, closed }) => {
@@ -181,7 +182,17 @@
         self.wakeups.insert(zone_monitor.next_timeout());
     }
 
+    /// Ends this front's share of the quota once its lease has expired. The fleet says so, too, but after a stall the
+    /// router may run first.
+    fn expire_quota(&mut self, now: Duration) {
+        let now_instant = self.clock.instant(now);
+        if self.quota_valid_until.take_if(|valid_until| *valid_until <= now_instant).is_some() {
+            self.gateway.handle_event(now, Event::SlowStartQuota(QuotaShare::NONE.share));
+        }
+    }
+
     fn decide(&mut self, now: Duration) {
+        self.expire_quota(now);
         (self.last_decision, self.decision_pending) = (now, false);
         let started = Instant::now();
         let actions = self.gateway.decide(now);
--- a/crates/edges/routing/src/router/mod.rs
+++ b/crates/edges/routing/src/router/mod.rs
@@ -24,7 +24,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The router's limits.
 #[derive(Debug, Clone, Copy)]
@@ -116,6 +116,8 @@
     /// Commands that did not fit into the engine driver's queue yet, in order.
     command_backlog: VecDeque<EngineCommand>,
     last_decision: Duration,
+    /// When this front's share of the quota for engines in slow start expires; none if it does not.
+    quota_valid_until: Option<Instant>,
     /// Whether an event was handled or a timer fired since the last decision.
     decision_pending: bool,
     timer: Timer,
@@ -168,6 +170,7 @@
             dropped_notifications: 0,
             pending_events: VecDeque::new(),
             command_backlog: VecDeque::new(),
+            quota_valid_until: None,
             last_decision: Duration::ZERO,
             decision_pending: false,
             timer: Timer::never(),
