Model check: the printed history is short, not always a shortest one

With several threads the search in breadth is not in strict order; one mutant was reported after 10 and after 11 events in two runs.

--- a/crates/tools/model-check/src/search.rs
+++ b/crates/tools/model-check/src/search.rs
@@ -45,7 +45,8 @@
     pub max_depth: usize,
     /// Duration of the search.
     pub duration: Duration,
-    /// A shortest history that breaks a rule; none if no history does.
+    /// A short history that breaks a rule; none if no history does. Several threads search side by side, so it may be a
+    /// few events longer than the shortest.
     pub bad_history: Option<Vec<S>>,
     /// Landmarks that no history reaches.
     pub missed_landmarks: Vec<&'static str>,
