Review: the scripts of the cases end with all they started

Cause: a script of review/6 to review/10 that was ended by a signal left its processes. Change: SIGTERM, SIGINT, SIGHUP and 118 s end a script with 2, after its processes; the system ends them if the script is killed.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -20,7 +20,11 @@
     def __init__(self, case, address):
         self.record = case.record
         self.process = subprocess.Popen(
-            [s.STAND_IN, "netconf", address], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+            [s.STAND_IN, "netconf", address],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+            preexec_fn=s.end_with_script,
         )
         self.process.name = "manager A"
         case.processes.append(self.process)
--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -1,6 +1,7 @@
 """Stand-ins and process control for the cases 6 to 10. Standard library only; loopback addresses only."""
 
 import base64
+import ctypes
 import json
 import os
 import shutil
@@ -20,6 +21,13 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 HELD, BROKEN, CANNOT_RUN = 0, 1, 2
+LONGEST_SECONDS = 118  # Of a script.
+LIBC = ctypes.CDLL(None)
+
+
+def end_with_script():
+    """Runs in each new process: the system ends it if the script ends in whatever way."""
+    LIBC.prctl(1, signal.SIGKILL)  # PR_SET_PDEATHSIG
 
 
 class CannotRun(Exception):
@@ -81,9 +89,15 @@
     def start(self, name, command, env=None, before=None):
         """Starts a program of the project by the form of the deploy file: `exec PROGRAM`, from the root."""
         log = open(self.path(f"{name}.log"), "ab")
+
+        def prepare():
+            end_with_script()
+            if before:
+                before()
+
         process = subprocess.Popen(
             command, cwd=ROOT, env={**os.environ, **(env or {})}, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-            preexec_fn=before,
+            preexec_fn=prepare,
         )
         process.name = name
         self.processes.append(process)
@@ -128,6 +142,13 @@
 def main(script, play):
     """Plays a case. `play(case)` returns a list of what broke the rule, empty if it held."""
     case = Case(script)
+
+    def stop(number, _frame):
+        raise CannotRun(f"ended by {signal.Signals(number).name}")
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM):
+        signal.signal(number, stop)
+    signal.alarm(LONGEST_SECONDS)
     try:
         broken = play(case)
         for line in broken:
@@ -142,6 +163,7 @@
         print("the case could not run:", repr(error))
         code = CANNOT_RUN
     finally:
+        signal.alarm(0)
         case.end()
     sys.stdout.flush()
     os._exit(code)
