--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -112,7 +112,9 @@
             return ""
 
     def run(self, name, command, seconds=30):
-        done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=seconds)
+        done = subprocess.run(
+            command, cwd=ROOT, capture_output=True, text=True, timeout=seconds, preexec_fn=end_with_script
+        )
         text = (done.stdout + done.stderr).strip()
         self.record.note(name, f"exit code {done.returncode}: {text}")
         return done.returncode, text
